Serve a request end to end through separate processes

A stand-in store and targets, entry VMs that join a roster in the store, documents and keys applied with shallotctl, look-ups, and requests from ingress through egress to a target.

--- a/src/bin/standin.rs
+++ b/src/bin/standin.rs
@@ -1,1 +1,83 @@
-fn main() {}
+//! Stand-ins for the platform's store, targets and links, for the demo, tests and load runs.
+
+use std::net::SocketAddr;
+
+use anyhow::Result;
+use clap::{Parser, Subcommand};
+use shallotstall::standin::{LinkStandin, Route, StoreStandin, TargetFaults, TargetStandin};
+
+/// Stand-ins for what is outside the system. Each prints its addresses as JSON on one line.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct Args {
+    #[command(subcommand)]
+    part: Part,
+}
+
+#[derive(Debug, Subcommand)]
+enum Part {
+    /// The platform's store and list of VMs.
+    Store {
+        /// Address for callers; port 0 takes a free one.
+        #[arg(long, default_value = "127.0.0.1:0")]
+        listen: SocketAddr,
+    },
+    /// Targets, all in this process.
+    Target {
+        /// Address of the first target; port 0 takes free ones.
+        #[arg(long, default_value = "127.0.0.1:0")]
+        listen: SocketAddr,
+        /// Number of targets; more than one needs port 0.
+        #[arg(long, default_value_t = 1)]
+        count: u32,
+        /// Slots of each target.
+        #[arg(long, default_value_t = 4)]
+        slots: u32,
+        /// Time that a request runs, in milliseconds.
+        #[arg(long, default_value_t = 5)]
+        work_ms: u64,
+    },
+    /// Links between machines.
+    Link {
+        /// Forwarded ports, each `LISTEN=TO`.
+        #[arg(long = "route", value_parser = parse_route)]
+        routes: Vec<Route>,
+    },
+}
+
+#[tokio::main]
+async fn main() -> Result<()> {
+    match Args::parse().part {
+        Part::Store { listen } => {
+            let store = StoreStandin::start(listen).await?;
+            println!("{{\"addr\":\"{}\",\"faults\":\"{}\"}}", store.addr, store.faults);
+            wait().await
+        }
+        Part::Target { listen, count, slots, work_ms } => {
+            let faults = TargetFaults { work_ms, ..TargetFaults::default() };
+            let mut targets = Vec::new();
+            for _ in 0..count {
+                let target = TargetStandin::start(listen, slots, faults.clone()).await?;
+                println!("{{\"addr\":\"{}\",\"faults\":\"{}\"}}", target.addr, target.faults);
+                targets.push(target);
+            }
+            wait().await
+        }
+        Part::Link { routes } => {
+            let control = SocketAddr::from(([127, 0, 0, 1], 0));
+            let link = LinkStandin::start(control, &routes).await?;
+            println!("{{\"faults\":\"{}\"}}", link.faults);
+            wait().await
+        }
+    }
+}
+
+async fn wait() -> Result<()> {
+    Ok(tokio::signal::ctrl_c().await?)
+}
+
+fn parse_route(text: &str) -> Result<Route, String> {
+    let (listen, to) = text.split_once('=').ok_or("expected LISTEN=TO")?;
+    let parse = |t: &str| t.parse::<SocketAddr>().map_err(|e| format!("{t:?}: {e}"));
+    Ok(Route { listen: parse(listen)?, to: parse(to)? })
+}
--- /dev/null
+++ b/src/lookup/mod.rs
@@ -0,0 +1,7 @@
+//! Look-ups: which entry VMs a caller should use, and which site serves a block of clients.
+
+mod blocks;
+mod named;
+
+pub use blocks::{Block, BlockError, BlockTable, SiteId};
+pub use named::{EntryVm, named};
--- /dev/null
+++ b/src/model/document.rs
@@ -0,0 +1,321 @@
+//! The service document: where a service runs, who may call it and how much each may use.
+
+use std::collections::BTreeSet;
+
+use macro_rules_attribute::apply;
+
+use super::{CustomerId, RegionId, ServiceId, ZoneId};
+use crate::common::record;
+
+/// Longest name of a service, customer, zone or route, in bytes.
+const NAME_BYTES: usize = 64;
+/// Highest rate of a customer, in requests a second.
+const RATE_MAX: f64 = 1_000_000.0;
+/// Highest burst of a customer, in requests.
+const BURST_MAX: u32 = 1_000_000;
+/// Longest deadline of a request, in milliseconds.
+const ANSWER_MS_MAX: u64 = 300_000;
+
+/// One team's document for its service.
+#[apply(record!)]
+pub struct Document {
+    /// The service.
+    pub service: ServiceId,
+    /// Time within which a request is answered, in milliseconds.
+    #[serde(default = "default_answer_ms")]
+    pub answer_ms: u64,
+    /// Zones where targets of the service run.
+    pub zones: Vec<ZoneId>,
+    /// What callers may ask for.
+    pub routes: Vec<Route>,
+    /// Who may call.
+    pub customers: Vec<Customer>,
+    /// Bounds on planned shifts of traffic.
+    #[serde(default)]
+    pub shift: Shift,
+    /// Queues, retries and headroom.
+    #[serde(default)]
+    pub limits: Limits,
+    /// What happens to keys in a zone that is cut off.
+    #[serde(default)]
+    pub keys: KeyPolicy,
+    /// Bandwidth between regions for this service.
+    #[serde(default)]
+    pub links: Vec<Link>,
+}
+
+fn default_answer_ms() -> u64 {
+    5_000
+}
+
+/// A route: the first whose method and path prefix match is taken.
+#[apply(record!)]
+pub struct Route {
+    /// Name, unique in the document.
+    pub name: String,
+    /// HTTP method; absent for every method.
+    #[serde(default)]
+    pub method: Option<String>,
+    /// Prefix of the path below the service, by whole segments.
+    pub path: String,
+    /// True if running a request twice does no harm. Unknown means not.
+    #[serde(default)]
+    pub idempotent: bool,
+    /// True if the caller must send an idempotency key.
+    #[serde(default)]
+    pub once: bool,
+    /// True if every customer may use the route.
+    #[serde(default)]
+    pub open: bool,
+    /// The customers who may use a route that is not open.
+    #[serde(default)]
+    pub customers: Vec<CustomerId>,
+}
+
+/// A customer's share.
+#[apply(record!)]
+pub struct Customer {
+    /// The customer.
+    pub id: CustomerId,
+    /// Requests a second over all entry VMs together.
+    pub rate: f64,
+    /// Requests at once over all entry VMs together.
+    pub burst: u32,
+    /// Weight in queues.
+    #[serde(default = "default_weight")]
+    pub weight: u32,
+}
+
+fn default_weight() -> u32 {
+    1
+}
+
+/// Bounds on planned shifts.
+#[apply(record!)]
+pub struct Shift {
+    /// Largest part of a region's traffic moved in one step.
+    pub cap: f64,
+    /// Shortest time between steps, in milliseconds.
+    pub interval_ms: u64,
+}
+
+impl Default for Shift {
+    fn default() -> Self {
+        Self { cap: 0.1, interval_ms: 30_000 }
+    }
+}
+
+/// Queues, retries and headroom.
+#[apply(record!)]
+pub struct Limits {
+    /// Part of each region's slots that traffic from other regions never takes.
+    #[serde(default = "default_headroom")]
+    pub headroom: f64,
+    /// Requests that wait in one entry VM for a slot.
+    #[serde(default = "default_queue")]
+    pub queue: u32,
+    /// Longest wait for a slot, in milliseconds.
+    #[serde(default = "default_queue_ms")]
+    pub queue_ms: u64,
+    /// Longest wait for a customer's token before a refusal, in milliseconds.
+    #[serde(default = "default_token_ms")]
+    pub token_ms: u64,
+    /// Retries as a part of requests.
+    #[serde(default = "default_retries")]
+    pub retries: f64,
+}
+
+fn default_headroom() -> f64 {
+    0.2
+}
+fn default_queue() -> u32 {
+    64
+}
+fn default_queue_ms() -> u64 {
+    500
+}
+fn default_token_ms() -> u64 {
+    250
+}
+fn default_retries() -> f64 {
+    0.1
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            headroom: default_headroom(),
+            queue: default_queue(),
+            queue_ms: default_queue_ms(),
+            token_ms: default_token_ms(),
+            retries: default_retries(),
+        }
+    }
+}
+
+/// What an entry VM does when it can learn of no withdrawal.
+#[apply(record!)]
+#[derive(Copy, Eq)]
+#[serde(rename_all = "lowercase")]
+pub enum CutOff {
+    /// Keys known as active go on working.
+    Serve,
+    /// Every key is refused.
+    Refuse,
+}
+
+/// Keys in a zone that is cut off from the store and from every other zone.
+#[apply(record!)]
+pub struct KeyPolicy {
+    /// What the zone does.
+    pub cut_off: CutOff,
+    /// Time without news after which the zone counts as cut off, in milliseconds.
+    pub stale_ms: u64,
+}
+
+impl Default for KeyPolicy {
+    fn default() -> Self {
+        Self { cut_off: CutOff::Serve, stale_ms: 5_000 }
+    }
+}
+
+/// Bandwidth of a link between regions.
+#[apply(record!)]
+pub struct Link {
+    /// One end.
+    pub from: RegionId,
+    /// The other end.
+    pub to: RegionId,
+    /// Bandwidth for this service in this direction, in megabits a second.
+    pub mbit: f64,
+}
+
+/// What is wrong with a document.
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
+#[error("{field}: {what}")]
+pub struct Problem {
+    /// The field at fault, as a path.
+    pub field: String,
+    /// What was found and what is allowed.
+    pub what: String,
+}
+
+/// Parses and checks a document.
+///
+/// # Errors
+/// All problems found; a document with any problem is not used.
+pub fn parse_document(text: &str) -> Result<Document, Vec<Problem>> {
+    let document: Document = toml::from_str(text)
+        .map_err(|e| vec![problem("document", e.to_string().trim_end().to_owned())])?;
+    let problems = document.problems();
+    if problems.is_empty() { Ok(document) } else { Err(problems) }
+}
+
+impl Document {
+    /// The customer's entry.
+    pub fn customer(&self, id: &CustomerId) -> Option<&Customer> {
+        self.customers.iter().find(|c| &c.id == id)
+    }
+
+    /// The first route that matches.
+    pub fn route(&self, method: &str, path: &str) -> Option<&Route> {
+        self.routes.iter().find(|r| r.matches(method, path))
+    }
+
+    fn problems(&self) -> Vec<Problem> {
+        let mut out = Vec::new();
+        check_name("service", self.service.as_str(), &mut out);
+        check_range("answer_ms", self.answer_ms as f64, 1.0, ANSWER_MS_MAX as f64, &mut out);
+        check_unique("zones", self.zones.iter().map(ZoneId::as_str), &mut out);
+        check_unique("customers", self.customers.iter().map(|c| c.id.as_str()), &mut out);
+        check_unique("routes", self.routes.iter().map(|r| r.name.as_str()), &mut out);
+        self.customers.iter().for_each(|c| c.check(&mut out));
+        self.routes.iter().for_each(|r| r.check(self, &mut out));
+        check_range("shift.cap", self.shift.cap, 0.001, 1.0, &mut out);
+        check_range("shift.interval_ms", self.shift.interval_ms as f64, 100.0, 8.64e7, &mut out);
+        check_range("limits.headroom", self.limits.headroom, 0.0, 0.9, &mut out);
+        check_range("limits.queue", self.limits.queue.into(), 0.0, 100_000.0, &mut out);
+        check_range("limits.queue_ms", self.limits.queue_ms as f64, 0.0, 60_000.0, &mut out);
+        check_range("limits.token_ms", self.limits.token_ms as f64, 0.0, 60_000.0, &mut out);
+        check_range("limits.retries", self.limits.retries, 0.0, 1.0, &mut out);
+        check_range("keys.stale_ms", self.keys.stale_ms as f64, 1_000.0, 3.6e6, &mut out);
+        for link in &self.links {
+            check_range("links.mbit", link.mbit, 0.001, 1e6, &mut out);
+        }
+        out
+    }
+}
+
+impl Route {
+    fn matches(&self, method: &str, path: &str) -> bool {
+        let method_fits = self.method.as_deref().is_none_or(|m| m.eq_ignore_ascii_case(method));
+        let prefix = self.path.trim_end_matches('/');
+        let path_fits = path
+            .strip_prefix(prefix)
+            .is_some_and(|rest| rest.is_empty() || rest.starts_with('/') || rest.starts_with('?'));
+        method_fits && path_fits
+    }
+
+    fn check(&self, document: &Document, out: &mut Vec<Problem>) {
+        let field = format!("routes.{}", self.name);
+        check_name(&field, &self.name, out);
+        if !self.path.starts_with('/') {
+            out.push(problem(&field, format!("path {:?} must start with '/'", self.path)));
+        }
+        if self.open && !self.customers.is_empty() {
+            out.push(problem(&field, "open routes name no customers".to_owned()));
+        }
+        if self.idempotent && self.once {
+            out.push(problem(&field, "a route is idempotent or once, not both".to_owned()));
+        }
+        for id in self.customers.iter().filter(|id| document.customer(id).is_none()) {
+            out.push(problem(&field, format!("customer {id} is not in customers")));
+        }
+    }
+}
+
+impl Customer {
+    fn check(&self, out: &mut Vec<Problem>) {
+        let field = format!("customers.{}", self.id);
+        check_name(&field, self.id.as_str(), out);
+        check_range(&format!("{field}.rate"), self.rate, 0.001, RATE_MAX, out);
+        check_range(&format!("{field}.burst"), self.burst.into(), 1.0, BURST_MAX.into(), out);
+        check_range(&format!("{field}.weight"), self.weight.into(), 1.0, 1_000.0, out);
+    }
+}
+
+fn problem(field: &str, what: String) -> Problem {
+    Problem { field: field.to_owned(), what }
+}
+
+fn check_name(field: &str, name: &str, out: &mut Vec<Problem>) {
+    let allowed = |c: char| c.is_ascii_alphanumeric() || c == '-' || c == '_' || c == '.';
+    if name.is_empty() || name.len() > NAME_BYTES || !name.chars().all(allowed) {
+        let what = format!("{name:?} is not 1 to {NAME_BYTES} of letters, digits, '-', '_', '.'");
+        out.push(problem(field, what));
+    }
+}
+
+fn check_range(field: &str, value: f64, low: f64, high: f64, out: &mut Vec<Problem>) {
+    if !(low..=high).contains(&value) {
+        out.push(problem(field, format!("{value} is not from {low} to {high}")));
+    }
+}
+
+fn check_unique<'a>(
+    field: &str,
+    names: impl Iterator<Item = &'a str>,
+    out: &mut Vec<Problem>,
+) {
+    let mut seen = BTreeSet::new();
+    let mut count = 0;
+    for name in names {
+        count += 1;
+        if !seen.insert(name) {
+            out.push(problem(field, format!("{name:?} stands twice")));
+        }
+    }
+    if count == 0 {
+        out.push(problem(field, "is empty; at least one is needed".to_owned()));
+    }
+}
--- /dev/null
+++ b/src/model/mod.rs
@@ -0,0 +1,20 @@
+//! The data that operators edit and the system agrees on: identifiers, service documents, keys,
+//! the platform's VM list, drains and versioned objects.
+
+mod document;
+mod drain;
+mod ids;
+mod key;
+mod object;
+mod vms;
+
+pub use document::{
+    Customer, CutOff, Document, KeyPolicy, Limits, Link, Problem, Route, Shift, parse_document,
+};
+pub use drain::{Drains, Subject};
+pub use ids::{
+    Account, CustomerId, Incarnation, Place, RegionId, ServiceId, TargetId, VmId, ZoneId,
+};
+pub use key::{KeyDigest, KeyEntry, KeySet, KeyState, new_key};
+pub use object::{Kind, Object, ObjectId};
+pub use vms::{Entry, Target, VmList, VmState};
--- /dev/null
+++ b/src/model/object.rs
@@ -0,0 +1,86 @@
+//! Versioned objects: what the platform's store keeps and the entry VMs spread.
+
+use macro_rules_attribute::apply;
+
+use crate::common::record;
+
+/// The kinds of object of this system.
+#[apply(record!)]
+#[derive(Copy, Eq, Hash, PartialOrd, Ord)]
+#[serde(rename_all = "lowercase")]
+pub enum Kind {
+    /// A service document.
+    Service,
+    /// The keys of one customer.
+    Keys,
+    /// The slice owners of one zone.
+    Roster,
+    /// The planned shifts of one service.
+    Plan,
+    /// Drained targets, VMs and zones.
+    Drains,
+    /// The platform's list of VMs; written by the platform only.
+    Vms,
+}
+
+impl Kind {
+    /// All kinds, in the order in which a starting VM reads them.
+    pub const ALL: [Kind; 6] =
+        [Kind::Vms, Kind::Roster, Kind::Service, Kind::Keys, Kind::Drains, Kind::Plan];
+
+    /// The path segment of this kind.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Kind::Service => "service",
+            Kind::Keys => "keys",
+            Kind::Roster => "roster",
+            Kind::Plan => "plan",
+            Kind::Drains => "drains",
+            Kind::Vms => "vms",
+        }
+    }
+
+    /// Reads a path segment.
+    pub fn parse(text: &str) -> Option<Kind> {
+        Kind::ALL.into_iter().find(|k| k.as_str() == text)
+    }
+}
+
+/// The name of an object.
+#[apply(record!)]
+#[derive(Eq, Hash, PartialOrd, Ord)]
+pub struct ObjectId {
+    /// What it is.
+    pub kind: Kind,
+    /// Its name within the kind.
+    pub name: String,
+}
+
+impl ObjectId {
+    /// The object `name` of `kind`.
+    pub fn new(kind: Kind, name: impl Into<String>) -> Self {
+        Self { kind, name: name.into() }
+    }
+}
+
+impl std::fmt::Display for ObjectId {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}/{}", self.kind.as_str(), self.name)
+    }
+}
+
+/// A versioned object.
+#[apply(record!)]
+pub struct Object {
+    /// Its name.
+    pub id: ObjectId,
+    /// Rises by one with every accepted write, also across deletion. Two objects with the same
+    /// name and version have the same body: each version is the outcome of one conditional update.
+    pub version: u64,
+    /// The operation that wrote this version; settles a write whose answer was lost.
+    pub operation: String,
+    /// True if this version deletes the object.
+    pub deleted: bool,
+    /// The content: TOML for documents, JSON for all other kinds.
+    pub body: String,
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,9 @@
+//! HTTP in and out: thin shells over `gotham`, `hyper` and `hyper-util`.
+
+mod client;
+mod serve;
+mod tls;
+
+pub use client::{HttpClient, HttpError};
+pub use serve::{Respond, Server, bytes_response, json_response, whole_body};
+pub use tls::acceptor;
--- /dev/null
+++ b/src/net/tls.rs
@@ -0,0 +1,34 @@
+//! TLS for callers, from PEM files.
+
+use std::path::Path;
+use std::sync::Arc;
+
+use anyhow::{Context, Result, bail};
+use tokio_rustls::TlsAcceptor;
+use tokio_rustls::rustls::ServerConfig;
+
+/// Reads a certificate chain and its private key.
+///
+/// # Errors
+/// Fails if a file can't be read or holds no usable certificate or key; the message names the file.
+pub fn acceptor(chain: &Path, key: &Path) -> Result<TlsAcceptor> {
+    let certs = rustls_pemfile::certs(&mut open(chain)?)
+        .collect::<Result<Vec<_>, _>>()
+        .with_context(|| format!("read certificates in {}", chain.display()))?;
+    if certs.is_empty() {
+        bail!("{} holds no certificate", chain.display());
+    }
+    let secret = rustls_pemfile::private_key(&mut open(key)?)
+        .with_context(|| format!("read the private key in {}", key.display()))?
+        .with_context(|| format!("{} holds no private key", key.display()))?;
+    let config = ServerConfig::builder()
+        .with_no_client_auth()
+        .with_single_cert(certs, secret)
+        .context("use the certificate and key for callers")?;
+    Ok(TlsAcceptor::from(Arc::new(config)))
+}
+
+fn open(path: &Path) -> Result<std::io::BufReader<std::fs::File>> {
+    let file = std::fs::File::open(path).with_context(|| format!("open {}", path.display()))?;
+    Ok(std::io::BufReader::new(file))
+}
--- /dev/null
+++ b/src/node/metrics.rs
@@ -0,0 +1,89 @@
+//! Metrics in the text format of Prometheus.
+
+use std::sync::Mutex;
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+/// Labels of answered requests.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct Answered {
+    pub(crate) service: String,
+    pub(crate) customer: String,
+    /// `answered`, or the reason of a refusal.
+    pub(crate) outcome: String,
+}
+
+/// Labels by service.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct ByService {
+    pub(crate) service: String,
+}
+
+/// The metrics of this daemon.
+pub(crate) struct Metrics {
+    registry: Mutex<Registry>,
+    pub(crate) requests: Family<Answered, Counter>,
+    pub(crate) latency: Family<ByService, Histogram>,
+    pub(crate) retries: Family<ByService, Counter>,
+    pub(crate) transfers: Counter,
+    pub(crate) forwards: Counter,
+    pub(crate) deaths: Counter,
+    pub(crate) late: Gauge,
+    pub(crate) live_peers: Gauge,
+    pub(crate) parts: Gauge,
+    pub(crate) slices: Gauge,
+    pub(crate) age_ms: Gauge,
+    pub(crate) open_claims: Gauge,
+}
+
+impl Metrics {
+    pub(crate) fn new() -> Self {
+        let mut registry = Registry::with_prefix("shallotstall");
+        let histogram = || Histogram::new(exponential_buckets(0.0005, 2.0, 16));
+        let metrics = Self {
+            requests: Family::default(),
+            latency: Family::new_with_constructor(histogram as fn() -> Histogram),
+            retries: Family::default(),
+            transfers: Counter::default(),
+            forwards: Counter::default(),
+            deaths: Counter::default(),
+            late: Gauge::default(),
+            live_peers: Gauge::default(),
+            parts: Gauge::default(),
+            slices: Gauge::default(),
+            age_ms: Gauge::default(),
+            open_claims: Gauge::default(),
+            registry: Mutex::new(Registry::default()),
+        };
+        registry.register("requests", "Requests by outcome", metrics.requests.clone());
+        registry.register("latency_seconds", "Time to answer", metrics.latency.clone());
+        registry.register("retries", "Requests sent again", metrics.retries.clone());
+        registry.register("transfers", "Messages of rate transfers", metrics.transfers.clone());
+        registry.register("forwards", "Requests sent to other VMs", metrics.forwards.clone());
+        registry.register("deaths", "Targets that died in flight", metrics.deaths.clone());
+        registry.register("late_answers", "Answers to calls given up", metrics.late.clone());
+        registry.register("live_peers", "Peers that answer", metrics.live_peers.clone());
+        registry.register("parts", "Parts of every rate owned", metrics.parts.clone());
+        registry.register("slices", "Slices of the zone owned", metrics.slices.clone());
+        registry.register("config_age_ms", "Age of the configuration", metrics.age_ms.clone());
+        registry.register("open_claims", "Claims being written", metrics.open_claims.clone());
+        *metrics.registry.lock().expect("registry lock") = registry;
+        metrics
+    }
+
+    /// All metrics as text.
+    pub(crate) fn text(&self) -> String {
+        let mut out = String::new();
+        let registry = self.registry.lock().expect("registry lock");
+        match encode(&mut out, &registry) {
+            Ok(()) => out,
+            Err(e) => format!("# {e}\n"),
+        }
+    }
+}
--- /dev/null
+++ b/src/node/mod.rs
@@ -0,0 +1,169 @@
+//! The daemon: the shells that connect the deciding parts to sockets, clocks and tasks.
+
+mod attempt;
+mod egress;
+mod escrow;
+mod fleet;
+mod ingress;
+mod life;
+mod lookup;
+mod mesh;
+mod metrics;
+mod once;
+mod operators;
+mod peers;
+mod planner;
+mod records;
+mod refusal;
+mod run;
+mod sanitize;
+mod trace;
+mod watcher;
+
+use std::sync::{Arc, Mutex};
+use std::time::{Instant, SystemTime};
+
+use arc_swap::ArcSwap;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::config::Config;
+use crate::escrow as sums;
+use crate::model::{Kind, Object};
+use crate::net::HttpClient;
+use crate::once::Desk;
+use crate::peer::{Body, Identity, Objects};
+use crate::spread::{Catalog, Offer, View};
+use crate::store::{HttpStore, Store};
+use crate::target::Poison;
+
+pub use operators::{Changed, ShiftOrder, Shown, Status};
+pub use run::{Daemon, Ports};
+
+/// What all parts of a daemon share.
+pub(crate) struct Node {
+    pub(crate) config: Config,
+    pub(crate) me: Identity,
+    pub(crate) store: Arc<dyn Store>,
+    pub(crate) client: HttpClient,
+    /// Never locked across an await.
+    catalog: Mutex<Catalog>,
+    view: ArcSwap<View>,
+    pub(crate) mesh: mesh::Mesh,
+    pub(crate) escrow: escrow::EscrowShell,
+    pub(crate) egress: egress::Egress,
+    pub(crate) ingress: ingress::Ingress,
+    pub(crate) fleet: fleet::Fleet,
+    pub(crate) desk: Arc<Desk>,
+    pub(crate) poison: Mutex<Poison>,
+    pub(crate) records: records::Records,
+    pub(crate) tracer: trace::Tracer,
+    pub(crate) metrics: metrics::Metrics,
+    pub(crate) life: life::Life,
+    pub(crate) freshness: watcher::Freshness,
+}
+
+impl Node {
+    fn new(config: Config, me: Identity, tracer: trace::Tracer) -> anyhow::Result<Arc<Self>> {
+        let now = Instant::now();
+        let client = HttpClient::new(config.bind);
+        let store: Arc<dyn Store> =
+            Arc::new(HttpStore::new(client.clone(), config.store.addr.to_string()));
+        let peer = sums::Peer {
+            vm: me.vm.clone(),
+            zone: me.place.zone.clone(),
+            live: true,
+        };
+        let escrow =
+            sums::Escrow::new(now, peer, me.incarnation, sums::Settings::default());
+        Ok(Arc::new(Self {
+            mesh: mesh::Mesh::new(me.clone(), config.peer_secret()?, config.bind),
+            escrow: escrow::EscrowShell::new(escrow),
+            egress: egress::Egress::default(),
+            ingress: ingress::Ingress::default(),
+            fleet: fleet::Fleet::default(),
+            desk: Desk::new(store.clone(), unix_seconds),
+            poison: Mutex::default(),
+            records: records::Records::default(),
+            tracer,
+            metrics: metrics::Metrics::new(),
+            life: life::Life::default(),
+            freshness: watcher::Freshness::new(now),
+            catalog: Mutex::default(),
+            view: ArcSwap::default(),
+            config,
+            me,
+            store,
+            client,
+        }))
+    }
+
+    /// The objects in force.
+    pub(crate) fn view(&self) -> Arc<View> {
+        self.view.load_full()
+    }
+
+    pub(crate) fn with_catalog<T>(&self, read: impl FnOnce(&Catalog) -> T) -> T {
+        read(&self.catalog.lock().expect("catalog lock"))
+    }
+
+    /// Takes in objects from the store or a peer; those that are new are passed on.
+    pub(crate) fn offer(&self, now: Instant, objects: Vec<Object>) {
+        let taken: Vec<Object> = {
+            let mut catalog = self.catalog.lock().expect("catalog lock");
+            let taken: Vec<Object> = objects
+                .into_iter()
+                .filter(|o| catalog.offer(o.clone()) == Offer::Taken)
+                .collect();
+            if taken.is_empty() {
+                return;
+            }
+            let last = self.view.load_full();
+            self.view.store(Arc::new(View::build(&catalog, &last)));
+            taken
+        };
+        for object in &taken {
+            log::info!("config: {} is at version {}.", object.id, object.version);
+        }
+        self.apply_view(now, &taken);
+        self.mesh.broadcast(&Body::Objects(Objects::from_objects(&taken)));
+    }
+
+    /// Lets the parts follow the objects in force.
+    fn apply_view(&self, now: Instant, taken: &[Object]) {
+        let view = self.view();
+        for lapse in &view.lapses {
+            if taken.iter().any(|o| o.id.to_string() == lapse.object) {
+                let (object, version) = (&lapse.object, lapse.version);
+                log::error!("config: {object} version {version} is not used: {}.", lapse.cause);
+            }
+        }
+        self.escrow.follow(now, &view);
+        if taken.iter().any(|o| o.id.kind == Kind::Roster) {
+            self.fleet.follow_roster(self, now, &view);
+        }
+        self.follow_targets(now);
+    }
+
+    /// Gives the egress the targets that this VM owns.
+    pub(crate) fn follow_targets(&self, now: Instant) {
+        let view = self.view();
+        let slices = self.fleet.slices();
+        self.egress.follow(now, &self.me, &view, &slices);
+    }
+}
+
+/// A random number generator for choices that need no secrecy.
+pub(crate) fn small_rng() -> SmallRng {
+    SmallRng::from_rng(&mut rand::rng())
+}
+
+/// Seconds since 1970.
+pub(crate) fn unix_seconds() -> u64 {
+    SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).map_or(0, |d| d.as_secs())
+}
+
+/// Milliseconds since 1970.
+pub(crate) fn unix_millis() -> u64 {
+    SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
+}
--- /dev/null
+++ b/src/peer/mod.rs
@@ -0,0 +1,27 @@
+//! Sessions between entry VMs: `prost` messages in length-delimited frames over TCP.
+
+mod client;
+mod error;
+mod handshake;
+mod message;
+mod server;
+
+pub use client::{Dialer, PeerClient};
+pub use error::PeerError;
+pub use handshake::{Identity, Secret};
+pub use message::{
+    Answer, Body, Cancel, Death, Demand, Empty, Envelope, EscrowNote, Explain, Explained, Field,
+    Forward, Heartbeat, Home, Load, Objects, Outcome, VersionList, WireObject, WireVersion, ask,
+    outcome,
+};
+pub use server::{PeerHandler, PeerServer};
+
+/// Largest frame, in bytes: a request or answer body with its headers.
+pub(crate) const FRAME_BYTES_MAX: usize = 12 << 20;
+
+/// The codec of all sessions.
+pub(crate) fn codec() -> tokio_util::codec::LengthDelimitedCodec {
+    tokio_util::codec::LengthDelimitedCodec::builder()
+        .max_frame_length(FRAME_BYTES_MAX)
+        .new_codec()
+}
--- /dev/null
+++ b/src/store/memory.rs
@@ -0,0 +1,97 @@
+//! A store in memory: the core of the stand-in and the fake of the tests.
+
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use tokio::sync::watch;
+
+use super::{Change, Changes, Expect, Revision, Store, StoreError, StoreFault, Stored};
+
+/// A store in memory. Every write is conditional and atomic.
+#[derive(Debug)]
+pub struct MemoryStore {
+    values: Mutex<BTreeMap<String, Stored>>,
+    /// The newest revision; sent after the value is in place.
+    revision: watch::Sender<Revision>,
+}
+
+impl Default for MemoryStore {
+    fn default() -> Self {
+        Self { values: Mutex::default(), revision: watch::Sender::new(0) }
+    }
+}
+
+impl MemoryStore {
+    /// The changes below `prefix` after `after`, without waiting.
+    pub fn changes(&self, prefix: &str, after: Revision) -> Changes {
+        let values = self.values.lock().expect("store lock");
+        let changes = values
+            .range(prefix.to_owned()..)
+            .take_while(|(path, _)| path.starts_with(prefix))
+            .filter(|(_, stored)| stored.revision > after)
+            .map(|(path, stored)| Change { path: path.clone(), revision: stored.revision })
+            .collect();
+        Changes { revision: *self.revision.borrow(), changes }
+    }
+}
+
+#[async_trait]
+impl Store for MemoryStore {
+    async fn read(&self, path: &str) -> Result<Option<Stored>, StoreError> {
+        Ok(self.values.lock().expect("store lock").get(path).cloned())
+    }
+
+    async fn write(
+        &self,
+        path: &str,
+        value: Bytes,
+        expect: Expect,
+    ) -> Result<Revision, StoreError> {
+        let mut values = self.values.lock().expect("store lock");
+        let holds = match (expect, values.get(path)) {
+            (Expect::Absent, None) => true,
+            (Expect::Revision(r), Some(stored)) => stored.revision == r,
+            _ => false,
+        };
+        if !holds {
+            return Err(StoreError {
+                step: "write",
+                path: path.to_owned(),
+                peer: "memory".to_owned(),
+                fault: StoreFault::Conflict,
+                cause: "another write came first".to_owned(),
+            });
+        }
+        let revision = *self.revision.borrow() + 1;
+        values.insert(path.to_owned(), Stored { value, revision });
+        self.revision.send_replace(revision);
+        Ok(revision)
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<Changes, StoreError> {
+        let mut newest = self.revision.subscribe();
+        let changed = async {
+            loop {
+                let changes = self.changes(prefix, after);
+                if !changes.changes.is_empty() {
+                    return changes;
+                }
+                if newest.changed().await.is_err() {
+                    return changes;
+                }
+            }
+        };
+        match tokio::time::timeout(wait, changed).await {
+            Ok(changes) => Ok(changes),
+            Err(_) => Ok(self.changes(prefix, after)),
+        }
+    }
+}
--- /dev/null
+++ b/src/zone/rank.rs
@@ -0,0 +1,25 @@
+//! Rendezvous hashing: a stable order of members for a key, without any agreement.
+
+use sha2::{Digest, Sha256};
+
+/// The weight of `member` for `key`; the highest wins.
+pub fn score(key: &str, member: &str) -> u64 {
+    let mut hash = Sha256::new();
+    hash.update((key.len() as u64).to_le_bytes());
+    hash.update(key.as_bytes());
+    hash.update(member.as_bytes());
+    let digest = hash.finalize();
+    u64::from_le_bytes(digest[..8].try_into().expect("a digest has 32 bytes"))
+}
+
+/// The members ordered by their weight for `key`, the winner first.
+pub fn ranked<T>(
+    key: &str,
+    members: impl IntoIterator<Item = T>,
+    name: impl Fn(&T) -> &str,
+) -> Vec<T> {
+    let mut scored: Vec<(u64, T)> =
+        members.into_iter().map(|m| (score(key, name(&m)), m)).collect();
+    scored.sort_by(|a, b| b.0.cmp(&a.0));
+    scored.into_iter().map(|(_, m)| m).collect()
+}
