--- a/src/bin/standin.rs
+++ b/src/bin/standin.rs
@@ -1,11 +1,18 @@
 //! Stand-ins for the platform's store, targets and links, for the demo, tests and load runs.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
-use anyhow::Result;
+use anyhow::{Context, Result, ensure};
+use bytes::Bytes;
 use clap::{Parser, Subcommand};
+use http::{Request, StatusCode};
+use shallotstall::net::HttpClient;
 use shallotstall::standin::{LinkStandin, Route, StoreStandin, TargetFaults, TargetStandin};
 
+/// Longest wait for a fault port.
+const SET_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Stand-ins for what is outside the system. Each prints its addresses as JSON on one line.
 #[derive(Debug, Parser)]
 #[command(version)]
@@ -37,6 +44,13 @@
         #[arg(long, default_value_t = 5)]
         work_ms: u64,
     },
+    /// Send JSON from standard input to a fault port, such as /faults or /vms.
+    Set {
+        /// The fault port.
+        at: SocketAddr,
+        /// The path.
+        path: String,
+    },
     /// Links between machines.
     Link {
         /// Forwarded ports, each `LISTEN=TO`.
@@ -63,6 +77,7 @@
             }
             wait().await
         }
+        Part::Set { at, path } => set(at, &path).await,
         Part::Link { routes } => {
             let control = SocketAddr::from(([127, 0, 0, 1], 0));
             let link = LinkStandin::start(control, &routes).await?;
@@ -72,6 +87,15 @@
     }
 }
 
+async fn set(at: SocketAddr, path: &str) -> Result<()> {
+    let body = std::io::read_to_string(std::io::stdin()).context("read standard input")?;
+    let request = Request::post(format!("http://{at}{path}")).body(Bytes::from(body))?;
+    let answer = HttpClient::new(None).send_fresh(request, SET_TIMEOUT).await?;
+    let text = String::from_utf8_lossy(answer.body()).into_owned();
+    ensure!(answer.status() == StatusCode::OK, "{at} answered {}: {text}", answer.status());
+    Ok(())
+}
+
 async fn wait() -> Result<()> {
     Ok(tokio::signal::ctrl_c().await?)
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod cmd;
 pub mod config;
 pub mod escrow;
+pub mod load;
 pub mod log_setup;
 pub mod lookup;
 pub mod model;
--- a/src/node/fleet.rs
+++ b/src/node/fleet.rs
@@ -20,6 +20,8 @@
 /// Refusals of a peer's port in a row after which its process has ended for so long that every
 /// loan of its floors has ended, too. A port is dialled five times a second.
 const REFUSALS: u32 = 15;
+/// Time between looks at whether the targets are idle.
+const GIVE_LOOK: Duration = Duration::from_millis(10);
 /// Bytes a second of one megabit a second.
 const BYTES_PER_MBIT: f64 = 125_000.0;
 
@@ -206,6 +208,23 @@
     node.follow_targets(now);
 }
 
+/// Gives all targets to the other VMs of the zone, once none runs a request of this VM.
+pub(crate) async fn give_targets(node: &Node) -> Result<(), FleetError> {
+    let now = Instant::now();
+    let parts = node.fleet.with(|h| h.parts(now));
+    start_release(node, now, (parts, Vec::new()));
+    while node.egress.busy() > 0 {
+        tokio::time::sleep(GIVE_LOOK).await;
+    }
+    let (vm, incarnation) = (&node.me.vm, node.me.incarnation);
+    change(node, "give targets", |roster| {
+        let Some(mine) = roster.member(vm) else { return Ok(()) };
+        let parts = mine.parts;
+        roster.give(vm, incarnation, parts, &[])
+    })
+    .await
+}
+
 /// Leaves the roster. Nothing that this VM owns is in use any more.
 pub(crate) async fn leave(node: &Node) -> Result<(), FleetError> {
     let (vm, incarnation) = (&node.me.vm, node.me.incarnation);
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -100,9 +100,8 @@
         let node = self.node;
         node.life.apply(DaemonEvent::Stop);
         peers::beat_soon(&node);
-        let notice = node.config.ttl();
-        tokio::time::sleep(notice).await;
         self.callers.close_connections();
+        tokio::time::sleep(node.config.ttl()).await;
         node.life.apply(DaemonEvent::NoticeOver);
         let drain = Duration::from_millis(node.config.stop.drain_ms);
         if tokio::time::timeout(drain, self.callers.shutdown()).await.is_err() {
@@ -131,8 +130,14 @@
 
 /// Gives everything that this VM owns to the others.
 async fn give_up(node: &Node) {
-    escrow::close(node);
     let until = Instant::now() + SETTLE_MAX;
+    // Targets go first: they are idle sooner than loans run out.
+    match tokio::time::timeout(LEAVE_MAX, fleet::give_targets(node)).await {
+        Ok(Ok(())) => {}
+        Ok(Err(e)) => log::warn!("fleet: {e}."),
+        Err(_) => log::warn!("fleet: The targets could not be given away in time."),
+    }
+    escrow::close(node);
     while !fleet::close(node) {
         if Instant::now() >= until {
             log::warn!("daemon: Some of its rate was still lent at the end.");
--- a/src/zone/rank.rs
+++ b/src/zone/rank.rs
@@ -20,6 +20,6 @@
 ) -> Vec<T> {
     let mut scored: Vec<(u64, T)> =
         members.into_iter().map(|m| (score(key, name(&m)), m)).collect();
-    scored.sort_by(|a, b| b.0.cmp(&a.0));
+    scored.sort_by_key(|(weight, _)| std::cmp::Reverse(*weight));
     scored.into_iter().map(|(_, m)| m).collect()
 }
--- a/tests/escrow_fuzz.rs
+++ b/tests/escrow_fuzz.rs
@@ -130,8 +130,7 @@
             });
         }
         // The first member took all; the others get their shares as the daemons would give them.
-        for number in 0..MEMBERS {
-            let vm = nodes[number].vm.clone();
+        for vm in nodes.iter().map(|n| n.vm.clone()) {
             let (parts, slices) = roster.retained(&vm).expect("the member is listed");
             roster.give(&vm, 1, parts, &slices).expect("the member is listed");
         }
