Hand targets and pools over before an entry VM leaves

The stopping VM still held itself to be the home of its pools until it ended; the others had moved on, so floors stayed lent for up to 2 s (refusals over-rate). It now lists itself as not live, and closes its pools when the stop is asked for. 2. A new owner took the targets for cold and gave them one slot (refusals busy). A target that has been on the platform's list for the warm-up time and did not die is warm. 3. Rebalancing gave slices back to the VM that was leaving, for 1.4 s. The roster now says who is leaving, and such a member owns nothing more. 4. A request that found no VM with targets was refused at once; it now waits for queue_ms. Ruled out: cut connections (none were), the store, the queue's bound.

--- a/src/escrow/account.rs
+++ b/src/escrow/account.rs
@@ -209,9 +209,10 @@
         self.pool.level(now)
     }
 
-    /// The member that holds the pool in this member's view.
+    /// The member that holds the pool in this member's view. A member that leaves lists itself as
+    /// not live, so that its pools go to others while it still runs.
     pub fn home(&self, peers: &[Peer]) -> VmId {
-        let live = || peers.iter().filter(|p| p.live || p.vm == self.me.vm);
+        let live = || peers.iter().filter(|p| p.live);
         if let Some(vm) = self.announced.vm.as_ref().filter(|vm| live().any(|p| &p.vm == *vm)) {
             return vm.clone();
         }
--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -17,6 +17,8 @@
 
 /// Most VMs that one request is sent to.
 const TRIES: u32 = 4;
+/// Pause before VMs with targets are looked for again.
+const PICK_AGAIN: Duration = Duration::from_millis(10);
 /// Time that a peer may take beyond the time left for the target.
 const HOP_SLACK: Duration = Duration::from_millis(150);
 
@@ -59,7 +61,14 @@
             history.reason = Some(Reason::TimedOut);
             break;
         }
-        let Some(candidate) = pick(node, admitted, &history, now, draw) else { break };
+        let Some(candidate) = pick(node, admitted, &history, now, draw) else {
+            // Targets may just be going from one VM to another.
+            if history.tries == 0 && trail.start.elapsed() < patience(admitted) {
+                tokio::time::sleep(PICK_AGAIN).await;
+                continue;
+            }
+            break;
+        };
         history.tries += 1;
         let answer = send(node, admitted, &candidate, &history, left).await;
         let text = format!("{:?} by {} {}", outcome(&answer), answer.target, answer.cause);
@@ -73,6 +82,11 @@
     Err(refuse(history))
 }
 
+/// Time for which a request waits for any VM to have targets.
+fn patience(admitted: &Admitted) -> Duration {
+    Duration::from_millis(admitted.document.limits.queue_ms)
+}
+
 fn pick(
     node: &Node,
     admitted: &Admitted,
--- a/src/node/egress.rs
+++ b/src/node/egress.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Mutex;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -20,7 +20,7 @@
 use crate::zone::Roster;
 
 use super::trace::{SpanEnd, SpanId};
-use super::{Node, sanitize, small_rng};
+use super::{Node, peers, sanitize, small_rng};
 
 /// Time between probes of a target.
 const PROBE_EVERY: Duration = Duration::from_millis(500);
@@ -36,6 +36,8 @@
 pub(crate) struct Egress {
     inner: Mutex<Inner>,
     next: AtomicU64,
+    /// True if there are targets that were never probed.
+    unprobed: AtomicBool,
 }
 
 #[derive(Default)]
@@ -44,6 +46,8 @@
     waiting: HashMap<u64, oneshot::Sender<Option<Slot>>>,
     links: BTreeMap<(ServiceId, String), LinkBudget>,
     rng: Option<SmallRng>,
+    /// When each target was first seen on the platform's list.
+    seen: BTreeMap<TargetId, Instant>,
 }
 
 /// The load report of a target.
@@ -56,13 +60,16 @@
     /// Gives the books the targets whose slices this VM owns.
     pub(crate) fn follow(&self, now: Instant, me: &Identity, view: &View, slices: &[u16]) {
         let mut inner = self.inner.lock().expect("egress lock");
+        inner.see(now, view);
         for (name, service) in &view.services {
             let limits = &service.document.limits;
             let rules = Rules { headroom: limits.headroom, queue: limits.queue as usize };
-            let known = owned_targets(me, view, name, slices);
+            let known = inner.owned_targets(now, me, view, name, slices);
             let book = inner.books.entry(name.clone()).or_insert_with(|| Book::new(rules));
             book.set_rules(rules);
-            book.sync(now, &known);
+            if book.sync(now, &known) {
+                self.unprobed.store(true, Ordering::Relaxed);
+            }
         }
         for (name, book) in &mut inner.books {
             if !view.services.contains_key(name) {
@@ -386,10 +393,17 @@
         for service in &services {
             node.egress.act(service, |book, rng| book.tick(now, rng));
         }
-        if now >= next_probe {
+        let unprobed = node.egress.unprobed.swap(false, Ordering::Relaxed);
+        if unprobed || now >= next_probe {
             next_probe = now + PROBE_EVERY;
             let node = node.clone();
-            tokio::spawn(async move { probe_all(&node).await });
+            tokio::spawn(async move {
+                probe_all(&node).await;
+                if unprobed {
+                    // The others should know of the new slots at once.
+                    peers::beat_soon(&node);
+                }
+            });
         }
         tokio::time::sleep(TICK).await;
     }
@@ -429,19 +443,38 @@
     })
 }
 
-fn owned_targets(me: &Identity, view: &View, service: &ServiceId, slices: &[u16]) -> Vec<Known> {
-    view.vms
-        .targets
-        .iter()
-        .filter(|t| &t.service == service && t.place.zone == me.place.zone)
-        .filter(|t| owns(slices, &t.id))
-        .map(|t| Known {
-            id: t.id.clone(),
-            addr: t.addr,
-            slots: t.slots,
-            leaving: t.state == VmState::Leaving || view.drains.covers_target(&t.id, &t.place),
-        })
-        .collect()
+impl Inner {
+    /// Learns when targets came on the platform's list, and forgets those that have gone.
+    fn see(&mut self, now: Instant, view: &View) {
+        let listed = &view.vms.targets;
+        self.seen.retain(|id, _| listed.iter().any(|t| &t.id == id));
+        for target in listed {
+            self.seen.entry(target.id.clone()).or_insert(now);
+        }
+    }
+
+    fn owned_targets(
+        &self,
+        now: Instant,
+        me: &Identity,
+        view: &View,
+        service: &ServiceId,
+        slices: &[u16],
+    ) -> Vec<Known> {
+        view.vms
+            .targets
+            .iter()
+            .filter(|t| &t.service == service && t.place.zone == me.place.zone)
+            .filter(|t| owns(slices, &t.id))
+            .map(|t| Known {
+                id: t.id.clone(),
+                addr: t.addr,
+                slots: t.slots,
+                leaving: t.state == VmState::Leaving || view.drains.covers_target(&t.id, &t.place),
+                seen: self.seen.get(&t.id).copied().unwrap_or(now),
+            })
+            .collect()
+    }
 }
 
 fn owns(slices: &[u16], target: &TargetId) -> bool {
--- a/src/node/escrow.rs
+++ b/src/node/escrow.rs
@@ -112,7 +112,7 @@
 pub(crate) async fn run(node: Arc<Node>) {
     loop {
         let now = Instant::now();
-        let members = node.mesh.members(now);
+        let members = node.mesh.members(now, node.life.is_leaving());
         let (actions, busy) = node.escrow.with(|e| {
             e.set_peers(members);
             (e.tick(now), e.waiting() > 0)
--- a/src/node/fleet.rs
+++ b/src/node/fleet.rs
@@ -217,10 +217,9 @@
         tokio::time::sleep(GIVE_LOOK).await;
     }
     let (vm, incarnation) = (&node.me.vm, node.me.incarnation);
-    change(node, "give targets", |roster| {
-        let Some(mine) = roster.member(vm) else { return Ok(()) };
-        let parts = mine.parts;
-        roster.give(vm, incarnation, parts, &[])
+    change(node, "start leaving", |roster| match roster.start_leaving(vm, incarnation) {
+        Err(RosterError::Absent { .. }) => Ok(()),
+        other => other,
     })
     .await
 }
@@ -283,6 +282,7 @@
         callers,
         parts: 0,
         slices: Vec::new(),
+        leaving: false,
     })
 }
 
--- a/src/node/mesh.rs
+++ b/src/node/mesh.rs
@@ -47,8 +47,11 @@
 }
 
 impl Peer {
-    /// True if the peer has answered lately.
+    /// True if the peer has answered lately and its port is not refusing.
     pub(crate) fn is_live(&self, now: Instant) -> bool {
+        if self.client.refusals() > 0 {
+            return false;
+        }
         let heard = self.heard.lock().expect("heard lock");
         heard.at.is_some_and(|at| now < at + SILENT_AFTER)
     }
@@ -173,10 +176,11 @@
             .collect()
     }
 
-    /// The members for the escrow.
-    pub(crate) fn members(&self, now: Instant) -> Vec<sums::Peer> {
+    /// The members for the escrow; `leaving` is true if this VM holds no pools any more.
+    pub(crate) fn members(&self, now: Instant, leaving: bool) -> Vec<sums::Peer> {
         let me = &self.dialer.me;
-        let own = sums::Peer { vm: me.vm.clone(), zone: me.place.zone.clone(), live: true };
+        let (vm, zone) = (me.vm.clone(), me.place.zone.clone());
+        let own = sums::Peer { vm, zone, live: !leaving };
         let others = self.peers().into_iter().map(|p| sums::Peer {
             vm: p.known.vm.clone(),
             zone: p.known.place.zone.clone(),
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -18,6 +18,8 @@
 
 /// Longest wait for the answer to a heartbeat.
 const BEAT_TIMEOUT: Duration = Duration::from_millis(480);
+/// Refusals of a peer's port in a row after which it can spend no token any more.
+const DEAD_REFUSALS: u32 = 2;
 /// Longest wait for objects.
 const OBJECTS_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -61,7 +63,12 @@
             Body::Escrow(note) => escrow::receive(node, &from.vm, note),
             Body::Objects(objects) => node.offer(Instant::now(), objects.to_objects()),
             Body::Death(death) => learn_death(node, &death),
-            Body::Heartbeat(beat) => escrow::hear(node, &beat.homes),
+            Body::Heartbeat(beat) => {
+                escrow::hear(node, &beat.homes);
+                if let Some(peer) = node.mesh.peer(&from.vm) {
+                    peer.hear(Instant::now(), &beat);
+                }
+            }
             _ => {}
         }
     }
@@ -98,6 +105,9 @@
 }
 
 async fn beat_one(node: &Node, peer: &Peer) {
+    if peer.client.refusals() >= DEAD_REFUSALS {
+        escrow::member_died(node, &peer.known.vm, peer.known.incarnation);
+    }
     let sent = Instant::now();
     let body = Body::Heartbeat(own_beat(node, sent));
     let Ok(Body::Heartbeat(beat)) = peer.client.call(body, BEAT_TIMEOUT).await else {
--- a/src/target/book.rs
+++ b/src/target/book.rs
@@ -32,6 +32,8 @@
     pub slots: u32,
     /// True if it gets no new work.
     pub leaving: bool,
+    /// When this VM first saw it on the platform's list; its caches are warm some time later.
+    pub seen: Instant,
 }
 
 /// Bounds from the service's document.
@@ -98,6 +100,8 @@
     /// Mean latency, in seconds.
     latency: f64,
     report: Option<Report>,
+    /// True once its process has ended or started anew: its caches are cold.
+    cold: bool,
 }
 
 /// The targets of one service at their egress VM.
@@ -123,13 +127,16 @@
     }
 
     /// Sets the targets owned. One that is no longer owned stays until its requests have ended.
-    pub fn sync(&mut self, now: Instant, known: &[Known]) {
+    /// Returns true if there are new ones.
+    pub fn sync(&mut self, now: Instant, known: &[Known]) -> bool {
+        let before = self.targets.len();
         for entry in self.targets.values_mut() {
             if !known.iter().any(|k| k.id == entry.known.id) {
                 entry.apply(now, TargetEvent::Leave);
             }
         }
         self.targets.retain(|id, e| e.busy > 0 || known.iter().any(|k| &k.id == id));
+        let kept = self.targets.len().min(before);
         for target in known {
             let entry =
                 self.targets.entry(target.id.clone()).or_insert_with(|| Entry::new(now, target));
@@ -140,6 +147,7 @@
             let event = if target.leaving { TargetEvent::Leave } else { TargetEvent::Return };
             entry.apply(now, event);
         }
+        self.targets.len() > kept
     }
 
     /// The targets and their states.
@@ -305,10 +313,12 @@
             failures: 0,
             latency: 0.0,
             report: None,
+            cold: false,
         }
     }
 
     fn apply(&mut self, now: Instant, event: TargetEvent) {
+        self.cold |= event == TargetEvent::Died;
         let next = target_chart().next(self.state, event);
         if next != self.state {
             log::info!("target: {} is {next:?}.", self.known.id);
@@ -360,6 +370,10 @@
     fn probe_ok(&mut self, now: Instant, running: u32) {
         self.failures = 0;
         self.apply(now, TargetEvent::ProbeOk);
+        // A target that another VM served until now is warm.
+        if !self.cold && now >= self.known.seen + WARM_UP {
+            self.apply(now, TargetEvent::Warm);
+        }
         self.report = Some(Report { at: now, others: running.saturating_sub(self.busy) });
     }
 }
--- a/src/zone/roster.rs
+++ b/src/zone/roster.rs
@@ -39,6 +39,9 @@
     pub parts: u32,
     /// Owned slices, ascending, each below [`SLICES`]. Members of one zone share none.
     pub slices: Vec<u16>,
+    /// True once the member is about to leave: nothing more is given to it.
+    #[serde(default)]
+    pub leaving: bool,
 }
 
 /// A change of the roster that is not allowed.
@@ -129,7 +132,7 @@
 
     /// Takes what nobody owns, up to a fair share; returns true if anything was taken.
     pub fn take_free(&mut self, vm: &VmId) -> bool {
-        let Some(me) = self.member(vm).cloned() else { return false };
+        let Some(me) = self.member(vm).filter(|m| !m.leaving).cloned() else { return false };
         let used: u32 = self.members.iter().map(|m| m.parts).sum();
         let zone: Vec<u16> = self.zone(&me.place.zone).flat_map(|m| m.slices.clone()).collect();
         let used_slices: BTreeSet<u16> = zone.into_iter().collect();
@@ -191,6 +194,23 @@
         Ok(())
     }
 
+    /// Says that `vm` is about to leave, and gives its slices to the others. The caller has stopped
+    /// using them.
+    ///
+    /// # Errors
+    /// Fails if `vm` is not on the roster in the life `incarnation`.
+    pub fn start_leaving(
+        &mut self,
+        vm: &VmId,
+        incarnation: Incarnation,
+    ) -> Result<(), RosterError> {
+        if let Some(me) = self.entry(vm) {
+            me.leaving = true;
+        }
+        let parts = self.member(vm).map_or(0, |m| m.parts);
+        self.give(vm, incarnation, parts, &[])
+    }
+
     /// Takes `vm` off the roster and gives what it owned to the others. The caller knows that the
     /// life `incarnation` has ended or, for itself, has stopped using everything.
     ///
@@ -206,47 +226,63 @@
         self.members.iter_mut().find(|m| &m.vm == vm)
     }
 
+    /// Members that may own something.
+    fn staying(&self) -> impl Iterator<Item = &Member> {
+        self.members.iter().filter(|m| !m.leaving)
+    }
+
     /// Zones have equal parts, and so have the members of a zone.
     fn fair_parts(&self, member: &Member) -> u32 {
-        let zones: BTreeSet<&ZoneId> = self.members.iter().map(|m| &m.place.zone).collect();
-        let in_zone = self.zone(&member.place.zone).count();
-        PARTS / (zones.len().max(1) as u32) / (in_zone.max(1) as u32)
+        if member.leaving {
+            return 0;
+        }
+        let zones: BTreeSet<&ZoneId> = self.staying().map(|m| &m.place.zone).collect();
+        PARTS / (zones.len().max(1) as u32) / self.staying_beside(member)
     }
 
     fn fair_slices(&self, member: &Member) -> usize {
-        let in_zone = self.zone(&member.place.zone).count().max(1);
-        usize::from(SLICES).div_ceil(in_zone)
+        match member.leaving {
+            true => 0,
+            false => usize::from(SLICES).div_ceil(self.staying_beside(member) as usize),
+        }
+    }
+
+    /// Staying members of the same zone, at least 1.
+    fn staying_beside(&self, member: &Member) -> u32 {
+        let zone = &member.place.zone;
+        self.staying().filter(|m| &m.place.zone == zone).count().max(1) as u32
     }
 
     fn spread_parts(&mut self, giver: &VmId, mut given: u32) {
         let wants: BTreeMap<VmId, u32> = self
-            .members
-            .iter()
+            .staying()
             .filter(|m| &m.vm != giver)
             .map(|m| (m.vm.clone(), self.fair_parts(m).saturating_sub(m.parts)))
             .collect();
-        for member in self.members.iter_mut().filter(|m| &m.vm != giver) {
-            let part = wants[&member.vm].min(given);
-            member.parts += part;
+        for (vm, want) in wants {
+            let part = want.min(given);
             given -= part;
+            if let Some(member) = self.entry(&vm) {
+                member.parts += part;
+            }
         }
         // What no member lacks goes to the first of them, so that nothing is lost.
-        if let Some(member) = self.members.iter_mut().find(|m| &m.vm != giver) {
+        if let Some(member) = self.heirs(giver).next() {
             member.parts += given;
         }
     }
 
     fn spread_slices(&mut self, giver: &VmId, zone: &ZoneId, freed: Vec<u16>) {
         for slice in freed {
-            let heir = self
-                .members
-                .iter_mut()
-                .filter(|m| &m.vm != giver && &m.place.zone == zone)
-                .min_by_key(|m| m.slices.len());
-            if let Some(heir) = heir {
+            let heirs = self.heirs(giver).filter(|m| &m.place.zone == zone);
+            if let Some(heir) = heirs.min_by_key(|m| m.slices.len()) {
                 heir.slices.push(slice);
                 heir.slices.sort_unstable();
             }
         }
     }
+
+    fn heirs<'a>(&'a mut self, giver: &'a VmId) -> impl Iterator<Item = &'a mut Member> + 'a {
+        self.members.iter_mut().filter(move |m| &m.vm != giver && !m.leaving)
+    }
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -97,6 +97,18 @@
     pub targets: Vec<Target>,
     pub vms: BTreeMap<String, Proc>,
     pub client: HttpClient,
+    /// The links between entry VMs, if there are any.
+    pub link: Option<Proc>,
+}
+
+/// The addresses of an entry VM behind the links.
+#[derive(Clone, Debug)]
+struct Linked {
+    ip: String,
+    /// Where it listens for sessions.
+    own: SocketAddr,
+    /// The link's port that leads there.
+    front: SocketAddr,
 }
 
 /// The answer to a caller.
@@ -146,7 +158,7 @@
             })
             .collect();
         let vms = BTreeMap::new();
-        let fleet = Self { dir, store, targets, vms, client: HttpClient::new(None) };
+        let fleet = Self { dir, store, targets, vms, client: HttpClient::new(None), link: None };
         fleet.list_targets().await;
         fleet
     }
@@ -159,9 +171,52 @@
         self.await_mesh().await;
     }
 
+    /// Starts entry VMs whose sessions go through links. The VMs of the n-th zone named have
+    /// addresses that start with `127.0.n.`.
+    pub async fn start_linked_vms(&mut self, names: &[&str]) {
+        let mut zones: Vec<&str> = Vec::new();
+        let mut linked = Vec::new();
+        for (number, name) in names.iter().enumerate() {
+            let zone = name.split('-').next().expect("a zone");
+            if !zones.contains(&zone) {
+                zones.push(zone);
+            }
+            let index = zones.iter().position(|z| z == &zone).expect("a zone") + 1;
+            let ip = format!("127.0.{index}.{}", number + 1);
+            let (own, front) = (free_addr(&ip), free_addr("127.0.0.1"));
+            linked.push(Linked { ip, own, front });
+        }
+        let routes: Vec<String> = linked
+            .iter()
+            .flat_map(|l| ["--route".to_owned(), format!("{}={}", l.front, l.own)])
+            .collect();
+        let mut args = vec!["link"];
+        args.extend(routes.iter().map(String::as_str));
+        self.link = Some(standin(&args));
+        for (name, l) in names.iter().zip(&linked) {
+            let extra = format!("advertise = \"{}\"\n", l.front);
+            let path = self.settings(name, &l.own.to_string(), &extra);
+            let text = std::fs::read_to_string(&path).expect("read settings");
+            std::fs::write(&path, format!("bind = \"{}\"\n{text}", l.ip)).expect("write");
+            self.start_from(name, &path);
+        }
+        self.await_mesh().await;
+    }
+
+    /// Cuts the links between two groups of VMs, by prefix of their addresses.
+    pub async fn cut(&self, pairs: &[(&str, &str)]) {
+        let cuts: Vec<Value> = pairs.iter().map(|(a, b)| json!({"a": a, "b": b})).collect();
+        let link = self.link.as_ref().expect("the fleet has links");
+        self.set(link, "/faults", &json!({ "cuts": cuts })).await;
+    }
+
     /// Starts one entry VM; `extra` is added to its settings.
     pub fn start_vm(&mut self, name: &str, extra: &str) {
         let config = self.settings(name, "127.0.0.1:0", extra);
+        self.start_from(name, &config);
+    }
+
+    fn start_from(&mut self, name: &str, config: &std::path::Path) {
         let args = ["--config".to_owned(), config.display().to_string()];
         let proc = Proc::start(env!("CARGO_BIN_EXE_shallotstalld"), &args);
         self.vms.insert(name.to_owned(), proc);
@@ -197,6 +252,16 @@
 
     /// Tells the platform's list of the targets as they are.
     pub async fn list_targets(&self) {
+        self.list(|t| t.leaving).await;
+    }
+
+    /// Tells the platform's list that a target is leaving.
+    pub async fn list_leaving(&self, number: usize) {
+        let id = &self.targets[number].id;
+        self.list(|t| t.leaving || &t.id == id).await;
+    }
+
+    async fn list(&self, leaving: impl Fn(&Target) -> bool) {
         let targets: Vec<Value> = self
             .targets
             .iter()
@@ -205,7 +270,7 @@
                     "id": t.id, "service": t.service, "slots": t.slots,
                     "place": {"region": region_of(&t.zone), "zone": t.zone},
                     "addr": t.proc.addr("addr"),
-                    "state": if t.leaving { "leaving" } else { "live" },
+                    "state": if leaving(t) { "leaving" } else { "live" },
                 })
             })
             .collect();
@@ -304,7 +369,12 @@
 
     /// Sends a caller's request; none if no whole answer came.
     pub async fn send(&self, vm: &str, request: Call<'_>) -> Option<Answer> {
-        let uri = format!("http://{}{}", self.vms[vm].addr("callers"), request.path);
+        self.send_to(&self.vms[vm].addr("callers").to_string(), request).await
+    }
+
+    /// Sends a caller's request to an address.
+    pub async fn send_to(&self, addr: &str, request: Call<'_>) -> Option<Answer> {
+        let uri = format!("http://{addr}{}", request.path);
         let mut builder = Request::builder().method(request.method).uri(uri);
         for (name, value) in &request.headers {
             builder = builder.header(*name, *value);
@@ -378,6 +448,12 @@
     }
 }
 
+/// An address that is free now.
+fn free_addr(ip: &str) -> SocketAddr {
+    let listener = std::net::TcpListener::bind((ip, 0)).expect("a free port");
+    listener.local_addr().expect("an address")
+}
+
 /// Starts a stand-in.
 pub fn standin(args: &[&str]) -> Proc {
     let args: Vec<String> = args.iter().map(|a| (*a).to_owned()).collect();
--- a/tests/escrow_fuzz.rs
+++ b/tests/escrow_fuzz.rs
@@ -462,6 +462,7 @@
         callers: addr,
         parts: 0,
         slices: Vec::new(),
+        leaving: false,
     }
 }
 
