Prove shifts, headroom and the book of targets; bound what a load report can take

Cause of the change, found by tests/regions.rs: load reports that lie high took every target down to one slot, which left no foreign request any room beside the headroom, so that a lost region was not taken over at all. The own count outranks a report: it now lowers the slots by half at most. Ruled out: the choice of the VM (requests reached the region's VMs and waited there).

--- a/src/target/book.rs
+++ b/src/target/book.rs
@@ -328,7 +328,8 @@
         }
     }
 
-    /// Slots that may be used now. A report can only lower them, and leaves at least one.
+    /// Slots that may be used now. A report can only lower them, and at most by half: the own count
+    /// outranks it, and a target that reports too much would otherwise be lost to its region.
     fn allowed(&self, now: Instant) -> u32 {
         let slots = match self.state {
             TargetState::Warming => {
@@ -338,7 +339,8 @@
             _ => self.known.slots,
         };
         let fresh = self.report.filter(|r| now < r.at + REPORT_AGE_MAX);
-        slots.saturating_sub(fresh.map_or(0, |r| r.others)).max(1).min(slots)
+        let trusted = slots.saturating_sub(fresh.map_or(0, |r| r.others));
+        trusted.max(slots.div_ceil(2))
     }
 
     /// Lower is better: the share of slots in use, then latency.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -312,6 +312,17 @@
         assert_eq!(answer.status(), 200);
     }
 
+    /// The share that a service's first planned shift has moved, in millionths, by the store.
+    pub async fn planned(&self, service: &str) -> u64 {
+        let uri = format!("http://{}/v1/objects/config/plan/{service}", self.store.addr("addr"));
+        let request = Request::get(uri).body(Bytes::new()).expect("a request");
+        let answer = self.client.send_fresh(request, PATIENCE).await.expect("read the store");
+        let object: Value = serde_json::from_slice(answer.body()).expect("an object");
+        let plan: Value =
+            serde_json::from_str(object["body"].as_str().expect("a body")).expect("a plan");
+        plan["moves"][0]["now"].as_u64().unwrap_or(0)
+    }
+
     /// What a target ran.
     pub async fn runs(&self, number: usize) -> Vec<Run> {
         let uri = format!("http://{}/runs", self.targets[number].proc.addr("faults"));
