--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -16,5 +16,5 @@
     Account, CustomerId, Incarnation, Place, RegionId, ServiceId, TargetId, VmId, ZoneId,
 };
 pub use key::{KeyDigest, KeyEntry, KeySet, KeyState, new_key};
-pub use object::{Kind, Object, ObjectId};
+pub use object::{Kind, Object, ObjectId, Operation};
 pub use vms::{Entry, Target, VmList, VmState};
--- a/src/model/object.rs
+++ b/src/model/object.rs
@@ -69,6 +69,16 @@
     }
 }
 
+/// An operation that wrote a version.
+#[apply(record!)]
+#[derive(Eq)]
+pub struct Operation {
+    /// Its name, never used again.
+    pub name: String,
+    /// The version that it wrote.
+    pub version: u64,
+}
+
 /// A versioned object.
 #[apply(record!)]
 pub struct Object {
@@ -77,8 +87,10 @@
     /// Rises by one with every accepted write, also across deletion. Two objects with the same
     /// name and version have the same body: each version is the outcome of one conditional update.
     pub version: u64,
-    /// The operation that wrote this version; settles a write whose answer was lost.
-    pub operation: String,
+    /// The latest operations, oldest first; settle writes whose answers were lost. Empty in objects
+    /// that come from a peer.
+    #[serde(default)]
+    pub operations: Vec<Operation>,
     /// True if this version deletes the object.
     pub deleted: bool,
     /// The content: TOML for documents, JSON for all other kinds.
--- a/src/node/operators.rs
+++ b/src/node/operators.rs
@@ -469,8 +469,9 @@
     act: impl FnMut(Option<&Object>) -> Result<Outcome, OperatorError>,
 ) -> Result<Changed, OperatorError> {
     let operation = format!("{}-operator-{:016x}", node.me.vm, rand::random::<u64>());
-    let Updated { object, written } =
+    let Updated { object, version } =
         update_object(node.store.as_ref(), id, &operation, act).await?;
+    let written = version.is_some();
     let objects: Vec<Object> = object.into_iter().collect();
     node.offer(Instant::now(), objects.clone());
     let taken = peers::confirm(node, &objects, CONFIRM_TIMEOUT).await;
@@ -481,7 +482,7 @@
             unconfirmed.entry(zone).or_default().push(member.vm.to_string());
         }
     }
-    let version = objects.first().map_or(0, |o| o.version);
+    let version = version.unwrap_or(objects.first().map_or(0, |o| o.version));
     Ok(Changed { object: id.to_string(), version, written, unconfirmed, key: None })
 }
 
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -179,7 +179,6 @@
             kind: o.id.kind.as_str().to_owned(),
             name: o.id.name.clone(),
             version: o.version,
-            operation: o.operation.clone(),
             deleted: o.deleted,
             body: o.body.clone(),
         };
@@ -192,7 +191,7 @@
             Some(Object {
                 id: ObjectId::new(Kind::parse(&w.kind)?, &w.name),
                 version: w.version,
-                operation: w.operation.clone(),
+                operations: Vec::new(),
                 deleted: w.deleted,
                 body: w.body.clone(),
             })
--- a/src/node/planner.rs
+++ b/src/node/planner.rs
@@ -60,7 +60,7 @@
         }
     })
     .await?;
-    if updated.written {
+    if updated.version.is_some() {
         log::info!("plan: The next step of {id} is made.");
     }
     node.offer(Instant::now(), updated.object.into_iter().collect());
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -125,6 +125,8 @@
             guard.live = false;
             return Err(self.error("queue call", false, "the session is full or closed"));
         }
+        // The session ends when its last sender goes; a waiting call must not keep it open.
+        drop(queue);
         match tokio::time::timeout(timeout, receiver).await {
             Ok(Ok(body)) => {
                 guard.live = false;
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -133,9 +133,6 @@
     /// Its version.
     #[prost(uint64, tag = "3")]
     pub version: u64,
-    /// The operation that wrote it.
-    #[prost(string, tag = "4")]
-    pub operation: String,
     /// True if this version deletes it.
     #[prost(bool, tag = "5")]
     pub deleted: bool,
--- a/src/store/update.rs
+++ b/src/store/update.rs
@@ -6,10 +6,12 @@
 use bytes::Bytes;
 
 use super::{CONFIG_PREFIX, Expect, Revision, Store, StoreError, StoreFault};
-use crate::model::{Object, ObjectId};
+use crate::model::{Object, ObjectId, Operation};
 
 /// Tries to settle one write.
 const ATTEMPTS: u32 = 6;
+/// Operations that an object remembers; more than can come between a write and its settling.
+const OPERATIONS: usize = 32;
 /// Pause before the second try; doubles with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(20);
 
@@ -29,8 +31,8 @@
 pub struct Updated {
     /// The object as it now stands, if there is one.
     pub object: Option<Object>,
-    /// True if this update wrote it.
-    pub written: bool,
+    /// The version that this update wrote; none if nothing had to be changed.
+    pub version: Option<u64>,
 }
 
 /// Reads the object `id`, deleted or not.
@@ -96,20 +98,26 @@
         Some((object, revision)) => (Some(object), Expect::Revision(revision)),
         None => (None, Expect::Absent),
     };
-    if object.as_ref().is_some_and(|o| o.operation == operation) {
-        return Ok(Updated { object, written: true });
+    // Others may have written since the write whose answer was lost.
+    let done = object.iter().flat_map(|o| &o.operations).find(|o| o.name == operation);
+    if let Some(version) = done.map(|o| o.version) {
+        return Ok(Updated { object, version: Some(version) });
     }
     let outcome = change(object.as_ref()).map_err(Failure::Refused)?;
     let (body, deleted) = match outcome {
-        Outcome::Keep => return Ok(Updated { object, written: false }),
+        Outcome::Keep => return Ok(Updated { object, version: None }),
         Outcome::Write(body) => (body, false),
         Outcome::Delete => (String::new(), true),
     };
-    let version = object.map_or(1, |o| o.version + 1);
-    let next = Object { id: id.clone(), version, operation: operation.to_owned(), deleted, body };
+    let (last, mut operations) = object.map_or((0, Vec::new()), |o| (o.version, o.operations));
+    let version = last + 1;
+    operations.push(Operation { name: operation.to_owned(), version });
+    let surplus = operations.len().saturating_sub(OPERATIONS);
+    operations.drain(..surplus);
+    let next = Object { id: id.clone(), version, operations, deleted, body };
     let value = serde_json::to_vec(&next).expect("objects are always valid JSON");
     store.write(&path_of(id), Bytes::from(value), expect).await.map_err(Failure::Store)?;
-    Ok(Updated { object: Some(next), written: true })
+    Ok(Updated { object: Some(next), version: Some(version) })
 }
 
 /// The path of an object in the store.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -302,7 +302,7 @@
         let revision = found.headers()["etag"].to_str().expect("a revision").to_owned();
         let object = json!({
             "id": {"kind": kind, "name": name}, "version": version,
-            "operation": format!("other-{version}"), "deleted": false, "body": body,
+            "deleted": false, "body": body,
         });
         let write = Request::put(&uri)
             .header("if-match", revision)
--- /dev/null
+++ b/tests/peer.rs
@@ -0,0 +1,115 @@
+//! Sessions between entry VMs: who may open one, and what happens to answers that come late.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use shallotstall::model::Place;
+use shallotstall::peer::{
+    Body, Dialer, Empty, Explain, Explained, Identity, PeerClient, PeerHandler, PeerServer, Secret,
+};
+use tokio::net::TcpListener;
+
+const PATIENCE: Duration = Duration::from_secs(30);
+
+fn identity(vm: &str) -> Identity {
+    let place = Place { region: "r".into(), zone: "z".into() };
+    Identity { vm: vm.into(), place, incarnation: 7 }
+}
+
+/// Answers each question with itself, after the time that it names in milliseconds.
+struct Echo;
+
+#[async_trait]
+impl PeerHandler for Echo {
+    async fn call(&self, _: &Identity, body: Body) -> Body {
+        match body {
+            Body::Explain(e) => {
+                let ms = e.request.split(' ').next().and_then(|n| n.parse().ok()).unwrap_or(0);
+                tokio::time::sleep(Duration::from_millis(ms)).await;
+                Body::Explained(Explained { record: e.request })
+            }
+            _ => Body::Empty(Empty {}),
+        }
+    }
+
+    fn note(&self, _: &Identity, _: Body) {}
+
+    fn met(&self, _: &Identity) {}
+}
+
+async fn pair(client_secret: &str, name: &str) -> (PeerServer, PeerClient) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let secret = Secret::new(b"the right secret".to_vec());
+    let server = PeerServer::start(listener, identity("server"), secret, Arc::new(Echo));
+    let server = server.expect("a server");
+    let secret = Secret::new(client_secret.as_bytes().to_vec());
+    let dialer = Dialer { me: identity("client"), secret, bind: None };
+    let client = PeerClient::start(name.into(), server.addr, dialer);
+    (server, client)
+}
+
+async fn await_session(client: &PeerClient) {
+    tokio::time::timeout(PATIENCE, async {
+        while client.identity().is_none() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    })
+    .await
+    .expect("a session");
+}
+
+fn question(text: &str) -> Body {
+    Body::Explain(Explain { request: text.to_owned() })
+}
+
+#[tokio::test]
+async fn only_a_peer_that_knows_the_secret_and_its_name_gets_a_session() {
+    for (secret, name) in [("the wrong secret", "server"), ("the right secret", "another")] {
+        let (_server, client) = pair(secret, name).await;
+        tokio::time::sleep(Duration::from_millis(700)).await;
+        assert!(client.identity().is_none(), "{secret}, {name}");
+        let error = client.call(question("0 a"), PATIENCE).await.expect_err("no session");
+        assert!(!error.sent, "nothing was sent: {error}");
+    }
+    let (_server, client) = pair("the right secret", "server").await;
+    await_session(&client).await;
+    assert_eq!(client.identity(), Some(identity("server")));
+}
+
+#[tokio::test]
+async fn answers_are_matched_to_their_calls_and_late_ones_dropped() {
+    let (_server, client) = pair("the right secret", "server").await;
+    await_session(&client).await;
+    let calls = (0..50).map(|n| {
+        let text = format!("{} call {n}", (50 - n) * 2);
+        let client = &client;
+        async move { (client.call(question(&text), PATIENCE).await, text) }
+    });
+    for (answer, text) in futures_util::future::join_all(calls).await {
+        let Ok(Body::Explained(e)) = answer else { panic!("no answer to {text}") };
+        assert_eq!(e.record, text);
+    }
+    // Given up before its answer; what comes next has its own.
+    let error = client.call(question("200 slow"), Duration::from_millis(20)).await;
+    assert!(error.expect_err("too slow").sent);
+    let Ok(Body::Explained(e)) = client.call(question("300 next"), PATIENCE).await else {
+        panic!("no answer");
+    };
+    assert_eq!(e.record, "300 next");
+}
+
+#[tokio::test]
+async fn calls_fail_when_the_session_ends() {
+    let (server, client) = pair("the right secret", "server").await;
+    await_session(&client).await;
+    let call = client.call(question("20000 never"), PATIENCE);
+    let end = async {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        client.reset();
+    };
+    let (outcome, ()) = tokio::join!(call, end);
+    assert!(outcome.expect_err("the session ended").sent);
+    await_session(&client).await;
+    drop(server);
+}
