--- a/src/bin/standin.rs
+++ b/src/bin/standin.rs
@@ -11,7 +11,7 @@
 use shallotstall::standin::{LinkStandin, Route, StoreStandin, TargetFaults, TargetStandin};
 
 /// Longest wait for a fault port.
-const SET_TIMEOUT: Duration = Duration::from_secs(5);
+const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Stand-ins for what is outside the system. Each prints its addresses as JSON on one line.
 #[derive(Debug, Parser)]
@@ -51,6 +51,13 @@
         /// The path.
         path: String,
     },
+    /// Print what a fault port answers at a path such as /counts or /runs.
+    Get {
+        /// The fault port.
+        at: SocketAddr,
+        /// The path.
+        path: String,
+    },
     /// Links between machines.
     Link {
         /// Forwarded ports, each `LISTEN=TO`.
@@ -77,7 +84,16 @@
             }
             wait().await
         }
-        Part::Set { at, path } => set(at, &path).await,
+        Part::Set { at, path } => {
+            let body = std::io::read_to_string(std::io::stdin()).context("read standard input")?;
+            call(at, Request::post(format!("http://{at}{path}")).body(Bytes::from(body))?).await?;
+            Ok(())
+        }
+        Part::Get { at, path } => {
+            let request = Request::get(format!("http://{at}{path}")).body(Bytes::new())?;
+            println!("{}", call(at, request).await?);
+            Ok(())
+        }
         Part::Link { routes } => {
             let control = SocketAddr::from(([127, 0, 0, 1], 0));
             let link = LinkStandin::start(control, &routes).await?;
@@ -87,13 +103,11 @@
     }
 }
 
-async fn set(at: SocketAddr, path: &str) -> Result<()> {
-    let body = std::io::read_to_string(std::io::stdin()).context("read standard input")?;
-    let request = Request::post(format!("http://{at}{path}")).body(Bytes::from(body))?;
-    let answer = HttpClient::new(None).send_fresh(request, SET_TIMEOUT).await?;
+async fn call(at: SocketAddr, request: Request<Bytes>) -> Result<String> {
+    let answer = HttpClient::new(None).send_fresh(request, CALL_TIMEOUT).await?;
     let text = String::from_utf8_lossy(answer.body()).into_owned();
     ensure!(answer.status() == StatusCode::OK, "{at} answered {}: {text}", answer.status());
-    Ok(())
+    Ok(text)
 }
 
 async fn wait() -> Result<()> {
--- a/src/cmd/slopes.rs
+++ b/src/cmd/slopes.rs
@@ -1,16 +1,337 @@
 //! `slopes`: measures what docs/CAPACITY.md is worked out from.
 
+use std::hint::black_box;
+use std::net::Ipv4Addr;
+use std::time::{Duration, Instant};
+
 use anyhow::Result;
 use clap::Args;
+use prost::Message;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use serde::Serialize;
+
+use crate::escrow::{Action, Escrow, Event, Peer, Request, Settings, Total, Verdict};
+use crate::lookup::{Block, BlockTable};
+use crate::model::{
+    Account, Kind, Object, ObjectId, Place, TargetId, VmId, new_key, parse_document,
+};
+use crate::peer::ask::{Borrow, Note};
+use crate::peer::{Body, Envelope, EscrowNote, Heartbeat, Load};
+use crate::route::{Candidate, Origin, choose};
+use crate::spread::{Catalog, View};
+use crate::target::{Book, Ended, Known, Rules, Work};
+use crate::zone::{Member, PARTS, Roster};
 
 use super::{Exit, Run};
 
-/// Measure slopes.
+/// Client blocks at the two-year size.
+const BLOCKS: u32 = 1_500_000;
+/// Sites at the two-year size.
+const SITES: u32 = 110;
+/// Nodes at the two-year size.
+const NODES: usize = 880;
+/// Repetitions of a short measurement.
+const TURNS: u32 = 100_000;
+/// Requests a second and at once that no measurement uses up.
+const PLENTY: f64 = 1e9;
+
+/// Measure the slopes that docs/CAPACITY.md is worked out from.
 #[derive(Args, Debug)]
-pub(crate) struct Slopes {}
+pub(crate) struct Slopes {
+    /// Print JSON.
+    #[arg(long)]
+    json: bool,
+}
+
+/// One measured figure.
+#[derive(Debug, Serialize)]
+struct Figure {
+    name: &'static str,
+    value: f64,
+    unit: &'static str,
+}
 
 impl Run for Slopes {
     fn run(&self) -> Result<Exit> {
+        let mut figures = Vec::new();
+        request_path(&mut figures)?;
+        client_blocks(&mut figures)?;
+        membership(&mut figures)?;
+        transfers(&mut figures);
+        for figure in &figures {
+            if self.json {
+                println!("{}", serde_json::to_string(figure)?);
+            } else {
+                println!("{:46} {:>14.3} {}", figure.name, figure.value, figure.unit);
+            }
+        }
         Ok(Exit::Done)
     }
 }
+
+fn add(figures: &mut Vec<Figure>, name: &'static str, value: f64, unit: &'static str) {
+    figures.push(Figure { name, value, unit });
+}
+
+/// Microseconds of one turn.
+fn time_us(turns: u32, mut act: impl FnMut(u32)) -> f64 {
+    let start = Instant::now();
+    (0..turns).for_each(&mut act);
+    start.elapsed().as_secs_f64() * 1e6 / f64::from(turns)
+}
+
+fn place(zone: usize) -> Place {
+    Place {
+        region: format!("r{}", zone / 3).as_str().into(),
+        zone: format!("z{zone}").as_str().into(),
+    }
+}
+
+fn peer(number: usize) -> Peer {
+    Peer { vm: VmId::new(format!("vm{number}")), zone: place(number % 14).zone, live: true }
+}
+
+/// The steps that decide about one request.
+fn request_path(figures: &mut Vec<Figure>) -> Result<()> {
+    let text = include_str!("../../examples/keeperwise/rota.toml");
+    let document = parse_document(text).map_err(|p| anyhow::anyhow!("{p:?}"))?;
+    let (catalog, key) = catalog_of(1, text);
+    let view = View::build(&catalog, &View::default());
+    let key_us = time_us(TURNS, |_| {
+        black_box(view.customer(black_box(&key)));
+    });
+    add(figures, "find the customer of a key", key_us, "us");
+    let route_us = time_us(TURNS, |_| {
+        black_box(document.route("GET", black_box("/rotas/today")));
+    });
+    add(figures, "find the route", route_us, "us");
+    add(figures, "take a token at the home", token_us(), "us");
+    add(figures, "choose one of 16 VMs", choose_us(), "us");
+    add(figures, "take and give back a slot of 24 targets", slot_us(), "us");
+    Ok(())
+}
+
+fn catalog_of(keys: usize, document: &str) -> (Catalog, String) {
+    let mut catalog = Catalog::default();
+    let object = |kind, name: &str, body: String| Object {
+        id: ObjectId::new(kind, name),
+        version: 1,
+        operations: Vec::new(),
+        deleted: false,
+        body,
+    };
+    catalog.offer(object(Kind::Service, "rota", document.to_owned()));
+    let key = new_key();
+    let digest = crate::model::KeyDigest::of(&key);
+    let entry = serde_json::json!({"digest": digest, "state": "active"});
+    let set = serde_json::json!({"keys": vec![entry; keys]}).to_string();
+    catalog.offer(object(Kind::Keys, "aviary", set));
+    (catalog, key.to_string())
+}
+
+fn full_escrow(now: Instant, peers: usize, accounts: usize) -> Escrow {
+    let mut escrow = Escrow::new(now, peer(0), 1, Settings::default());
+    escrow.set_peers((0..peers).map(peer).collect());
+    for number in 0..accounts {
+        let account = Account::new("rota", format!("c{number}").as_str());
+        escrow.set_total(now, &account, Some(Total { rate: PLENTY, burst: PLENTY }));
+    }
+    escrow.set_parts(now, PARTS);
+    escrow
+}
+
+fn token_us() -> f64 {
+    let start = Instant::now();
+    let mut escrow = full_escrow(start, 1, 8);
+    let account = Account::new("rota", "c3");
+    let mut now = start;
+    let mut admitted = 0;
+    let us = time_us(TURNS, |turn| {
+        now += Duration::from_micros(10);
+        if turn % 10_000 == 0 {
+            escrow.tick(now);
+            now += Duration::from_millis(1);
+        }
+        let request = Request { ticket: turn.into(), until: now + Duration::from_secs(1) };
+        admitted += u32::from(escrow.request(now, &account, request).0 == Verdict::Admitted);
+    });
+    assert!(admitted > TURNS / 2, "the measurement is of admitted requests");
+    us
+}
+
+fn choose_us() -> f64 {
+    let candidates: Vec<Candidate> = (0..16)
+        .map(|n| Candidate {
+            vm: VmId::new(format!("vm{n}")),
+            place: place(n % 6),
+            slots: 24,
+            busy: n as u32,
+            queued: 0,
+        })
+        .collect();
+    let here = place(2);
+    let origin = Origin { place: &here, shifted: None, headroom: 0.2, closed: &[] };
+    let mut rng = SmallRng::seed_from_u64(1);
+    time_us(TURNS, |_| {
+        black_box(choose(&origin, &candidates, &mut rng));
+    })
+}
+
+fn slot_us() -> f64 {
+    let start = Instant::now();
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut book = Book::new(Rules { headroom: 0.2, queue: 64 });
+    let known: Vec<Known> = (0..24)
+        .map(|n| Known {
+            id: TargetId::new(format!("t{n}")),
+            addr: ([127, 0, 0, 1], 9).into(),
+            slots: 6,
+            leaving: false,
+            seen: start,
+        })
+        .collect();
+    book.sync(start, &known);
+    let now = start + Duration::from_secs(10);
+    for target in &known {
+        book.probed(now, &target.id, Some(0), &mut rng);
+    }
+    time_us(TURNS, |turn| {
+        let work = Work {
+            ticket: turn.into(),
+            customer: "c".into(),
+            weight: 1,
+            until: now + Duration::from_secs(1),
+            foreign: false,
+            avoid: Vec::new(),
+        };
+        for step in book.admit(now, work, &mut rng) {
+            if let crate::target::Step::Start(slot) = step {
+                let ended = Ended::Answered(Duration::from_millis(5));
+                book.finish(now, &slot.target, ended, &mut rng);
+            }
+        }
+    })
+}
+
+/// The table of client blocks.
+fn client_blocks(figures: &mut Vec<Figure>) -> Result<()> {
+    let block = |n: u32, site: u32| Block {
+        first: Ipv4Addr::from(n << 11),
+        prefix: 21,
+        site: (site % SITES) as u16,
+    };
+    let start = Instant::now();
+    let mut table = BlockTable::build((0..BLOCKS).map(|n| block(n, n)))?;
+    add(figures, "build 1.5 million blocks", start.elapsed().as_secs_f64() * 1e3, "ms");
+    add(figures, "memory of 1.5 million blocks", table.bytes() as f64 / 1e6, "MB");
+    let mut client = 1u32;
+    let us = time_us(TURNS * 10, |_| {
+        client = client.wrapping_mul(1_664_525).wrapping_add(1_013_904_223);
+        black_box(table.site(client.into()));
+    });
+    add(figures, "find the site of a client", us, "us");
+    let us = time_us(TURNS, |turn| {
+        let n = turn.wrapping_mul(2_654_435_761) % BLOCKS;
+        table.set(block(n, turn)).expect("the block is in the table");
+    });
+    add(figures, "move a block to another site", us, "us");
+    Ok(())
+}
+
+/// The roster, heartbeats and the view, by members.
+fn membership(figures: &mut Vec<Figure>) -> Result<()> {
+    let mut roster = Roster::default();
+    let addr = "10.200.30.40:7101".parse()?;
+    let start = Instant::now();
+    for number in 0..NODES {
+        let member = Member {
+            vm: VmId::new(format!("zone{}-vm{number}", number % 14)),
+            place: place(number % 14),
+            incarnation: 1_796_374_163_402,
+            peers: addr,
+            callers: addr,
+            parts: 0,
+            slices: Vec::new(),
+            leaving: false,
+        };
+        roster.join(&member)?;
+    }
+    let joins_ms = start.elapsed().as_secs_f64() * 1e3 / NODES as f64;
+    add(figures, "join a roster of up to 880 members", joins_ms, "ms");
+    let text = serde_json::to_string(&roster)?;
+    add(figures, "bytes of the roster for each member", text.len() as f64 / NODES as f64, "B");
+    let start = Instant::now();
+    black_box(serde_json::from_str::<Roster>(&text)?);
+    add(figures, "read a roster of 880 members", start.elapsed().as_secs_f64() * 1e3, "ms");
+    let load = Load { service: "submissions".to_owned(), slots: 84, busy: 40, queued: 2 };
+    let beat =
+        Heartbeat { digest: u64::MAX, age_ms: 900, loads: vec![load; 3], ..Heartbeat::default() };
+    let body = Some(Body::Heartbeat(beat));
+    let bytes = Envelope { id: 100_000, reply: false, body }.encode_to_vec();
+    add(figures, "bytes of a heartbeat of 3 services", bytes.len() as f64, "B");
+    let us = time_us(TURNS, |_| {
+        let envelope = Envelope::decode(bytes.as_slice()).expect("it was just encoded");
+        black_box(envelope.encode_to_vec());
+    });
+    add(figures, "read and write a heartbeat", us, "us");
+    let document = include_str!("../../examples/keeperwise/rota.toml");
+    let (mut catalog, _) = catalog_of(4, document);
+    let id = ObjectId::new(Kind::Roster, "fleet");
+    catalog.offer(Object { id, version: 1, operations: Vec::new(), deleted: false, body: text });
+    let start = Instant::now();
+    black_box(View::build(&catalog, &View::default()));
+    add(figures, "build a view with 880 members", start.elapsed().as_secs_f64() * 1e3, "ms");
+    add(figures, "bytes of a document of 8 customers", document.len() as f64, "B");
+    Ok(())
+}
+
+/// Transfers of rate, by accounts and members.
+fn transfers(figures: &mut Vec<Figure>) {
+    let borrow = Borrow {
+        stamp: 1_796_374_163_402_000,
+        held: 1_796_374_163_402_001,
+        incarnation: 1_796_374_163_402,
+    };
+    let note = EscrowNote {
+        service: "submissions".to_owned(),
+        customer: "baltic-survey".to_owned(),
+        note: Some(Note::Borrow(borrow)),
+    };
+    let envelope = Envelope { id: 0, reply: false, body: Some(Body::Escrow(note)) };
+    add(figures, "bytes of a loan's renewal, one way", envelope.encoded_len() as f64, "B");
+    let start = Instant::now();
+    let (members, accounts) = (24, 8);
+    let mut home = full_escrow(start, members, accounts);
+    let mut sent = 0;
+    let seconds = 20;
+    let us = time_us(seconds * 20, |turn| {
+        let now = start + Duration::from_millis(50) * turn;
+        sent += answer_loans(&mut home, now);
+    });
+    add(figures, "a tick of 8 accounts and 24 members", us, "us");
+    let own = home.accounts().filter(|a| home.home(a) == Some(peer(0).vm)).count();
+    let each = f64::from(sent) / f64::from(seconds) / (members - 1) as f64 / own.max(1) as f64;
+    add(figures, "renewals a second, each account and member", each, "");
+}
+
+/// Ticks a home and lets every member answer its requests for loans.
+fn answer_loans(home: &mut Escrow, now: Instant) -> u32 {
+    let mut sent = 0;
+    for action in home.tick(now) {
+        let Action::Send { to, account, note: Note::Borrow(borrow) } = action else { continue };
+        sent += 1;
+        let (rate, capacity, tokens) = (1.0, 1.0, 0.0);
+        let loan = crate::peer::ask::Loan {
+            stamp: borrow.stamp,
+            id: borrow.held.max(1),
+            seq: borrow.stamp,
+            rate,
+            capacity,
+            tokens,
+            lease_us: 2_000_000,
+        };
+        home.receive(now, &Event { from: to, account, note: Note::Loan(loan) });
+    }
+    sent
+}
