--- a/benches/rate_policy.rs
+++ b/benches/rate_policy.rs
@@ -15,7 +15,7 @@
 use shallotstall::escrow::{
     Action, Bucket, Escrow, Event, Peer, Request, Settings, Total, Verdict,
 };
-use shallotstall::model::Account;
+use shallotstall::model::{Account, PoolPlace};
 use shallotstall::zone::PARTS;
 
 const MEMBERS: usize = 18;
@@ -98,14 +98,15 @@
 impl Fleet {
     fn new(policy: Policy, offered: f64, patience: Duration, seed: u64) -> Self {
         let start = Instant::now();
-        let mut settings = Settings::default();
-        if policy == Policy::FixedPool {
-            settings.move_factor = f64::INFINITY;
-        }
+        let place = match policy {
+            Policy::FixedPool => PoolPlace::Stays,
+            _ => PoolPlace::Follows,
+        };
         let members = peers().into_iter().map(|me| {
-            let mut escrow = Escrow::new(start, me, 1, settings);
+            let mut escrow = Escrow::new(start, me, 1, Settings::default());
             escrow.set_peers(peers());
             escrow.set_total(start, &account(), Some(TOTAL));
+            escrow.set_place(&account(), place);
             escrow.set_parts(start, PARTS / MEMBERS as u32);
             escrow
         });
--- a/src/escrow/account.rs
+++ b/src/escrow/account.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
-use crate::model::{Account, Incarnation, VmId, ZoneId};
+use crate::model::{Account, Incarnation, PoolPlace, VmId, ZoneId};
 use crate::peer::ask::{Ask, Borrow, Grant, Loan, Note};
 use crate::zone::ranked;
 
@@ -56,6 +56,11 @@
     pub burst: f64,
 }
 
+impl Total {
+    /// Nothing.
+    pub const ZERO: Total = Total { rate: 0.0, burst: 0.0 };
+}
+
 /// A member as this one sees it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Peer {
@@ -130,6 +135,7 @@
     pool: Pool,
     wallet: Wallet,
     announced: Announced,
+    place: PoolPlace,
     /// Oldest first.
     queue: VecDeque<Request>,
     demand: Meter,
@@ -162,6 +168,7 @@
             pool: Pool::new(now, settings),
             wallet: Wallet::new(now, incarnation, first),
             announced: Announced::default(),
+            place: PoolPlace::default(),
             queue: VecDeque::new(),
             demand: Meter::new(now),
             granted: BTreeMap::new(),
@@ -171,6 +178,11 @@
         }
     }
 
+    /// Sets where the pool is. A pool that stays is not moved by this member.
+    pub fn set_place(&mut self, place: PoolPlace) {
+        self.place = place;
+    }
+
     /// Sets this member's part of the sum.
     pub fn resize(&mut self, now: Instant, part: Total) {
         self.floor.resize(now, part.rate, part.burst);
@@ -256,7 +268,9 @@
         let mut actions = Vec::new();
         if home == self.me.vm {
             self.borrow(now, peers, &mut actions);
-            self.consider_move(now, peers, &mut actions);
+            if self.place == PoolPlace::Follows {
+                self.consider_move(now, peers, &mut actions);
+            }
         } else if !self.pool.is_empty(now) {
             self.close_pool(now, &mut actions);
         }
--- a/src/escrow/ledger.rs
+++ b/src/escrow/ledger.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Instant;
 
-use crate::model::{Account, Incarnation, VmId};
+use crate::model::{Account, Incarnation, PoolPlace, VmId};
 use crate::peer::Home;
 use crate::peer::ask::Note;
 use crate::zone::PARTS;
@@ -99,7 +99,7 @@
         let fraction = self.fraction();
         let Some(total) = total else {
             if let Some((total, steward)) = self.stewards.get_mut(account) {
-                *total = Total { rate: 0.0, burst: 0.0 };
+                *total = Total::ZERO;
                 steward.resize(now, *total);
             }
             return;
@@ -113,6 +113,13 @@
         entry.1.resize(now, part_of(total, fraction));
     }
 
+    /// Sets where an account's pool is.
+    pub fn set_place(&mut self, account: &Account, place: PoolPlace) {
+        if let Some((_, steward)) = self.stewards.get_mut(account) {
+            steward.set_place(place);
+        }
+    }
+
     /// The accounts known.
     pub fn accounts(&self) -> impl Iterator<Item = &Account> {
         self.stewards.keys()
--- a/src/model/document.rs
+++ b/src/model/document.rs
@@ -123,6 +123,21 @@
     /// Retries as a part of requests.
     #[serde(default = "default_retries")]
     pub retries: f64,
+    /// Where each customer's pool of tokens is.
+    #[serde(default)]
+    pub pool: PoolPlace,
+}
+
+/// Where the pool of an account is.
+#[apply(record!)]
+#[derive(Copy, Eq, Default)]
+#[serde(rename_all = "lowercase")]
+pub enum PoolPlace {
+    /// In the zone of most demand: short waits, and refusals while it moves.
+    #[default]
+    Follows,
+    /// In one place: longer waits, and fewer refusals inside the rate.
+    Stays,
 }
 
 fn default_headroom() -> f64 {
@@ -149,6 +164,7 @@
             queue_ms: default_queue_ms(),
             token_ms: default_token_ms(),
             retries: default_retries(),
+            pool: PoolPlace::default(),
         }
     }
 }
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -9,7 +9,8 @@
 mod vms;
 
 pub use document::{
-    Customer, CutOff, Document, KeyPolicy, Limits, Link, Problem, Route, Shift, parse_document,
+    Customer, CutOff, Document, KeyPolicy, Limits, Link, PoolPlace, Problem, Route, Shift,
+    parse_document,
 };
 pub use drain::{Drains, Subject};
 pub use ids::{
--- a/src/net/tls.rs
+++ b/src/net/tls.rs
@@ -21,7 +21,10 @@
     let secret = rustls_pemfile::private_key(&mut open(key)?)
         .with_context(|| format!("read the private key in {}", key.display()))?
         .with_context(|| format!("{} holds no private key", key.display()))?;
-    let config = ServerConfig::builder()
+    let provider = Arc::new(tokio_rustls::rustls::crypto::aws_lc_rs::default_provider());
+    let config = ServerConfig::builder_with_provider(provider)
+        .with_safe_default_protocol_versions()
+        .context("use the default protocol versions")?
         .with_no_client_auth()
         .with_single_cert(certs, secret)
         .context("use the certificate and key for callers")?;
--- a/src/node/escrow.rs
+++ b/src/node/escrow.rs
@@ -52,7 +52,7 @@
             for customer in &service.document.customers {
                 let account = Account::new(name.clone(), customer.id.clone());
                 let total = Total { rate: customer.rate, burst: f64::from(customer.burst) };
-                wanted.insert(account, total);
+                wanted.insert(account, (total, service.document.limits.pool));
             }
         }
         let gone: Vec<Account> =
@@ -60,8 +60,9 @@
         for account in gone {
             escrow.set_total(now, &account, None);
         }
-        for (account, total) in wanted {
+        for (account, (total, place)) in wanted {
             escrow.set_total(now, &account, Some(total));
+            escrow.set_place(&account, place);
         }
     }
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -216,6 +216,15 @@
         self.start_from(name, &config);
     }
 
+    /// Starts one entry VM with a part of its settings replaced.
+    pub fn start_vm_with(&mut self, name: &str, from: &str, to: &str) {
+        let path = self.settings(name, "127.0.0.1:0", "");
+        let text = std::fs::read_to_string(&path).expect("read settings");
+        assert!(text.contains(from));
+        std::fs::write(&path, text.replacen(from, to, 1)).expect("write settings");
+        self.start_from(name, &path);
+    }
+
     fn start_from(&mut self, name: &str, config: &std::path::Path) {
         let args = ["--config".to_owned(), config.display().to_string()];
         let proc = Proc::start(env!("CARGO_BIN_EXE_shallotstalld"), &args);
--- a/tests/escrow_fuzz.rs
+++ b/tests/escrow_fuzz.rs
@@ -13,6 +13,7 @@
     Action, Bucket, Escrow, Event, Peer, Request, Settings, Total, Verdict,
 };
 use shallotstall::model::{Account, Place, VmId};
+use shallotstall::peer::ask::Note;
 use shallotstall::zone::{Holding, Member, PARTS, Roster};
 
 const MEMBERS: usize = 5;
@@ -540,6 +541,25 @@
     assert!((62..=72).contains(&admitted), "admitted {admitted}");
 }
 
+/// A home that is about to leave hands its loans back while it still runs, so that its members wait
+/// for no lease to end.
+#[test]
+fn a_leaving_home_hands_its_pool_over() {
+    let mut world = World::new();
+    world.run(6_000);
+    let account = world.account.clone();
+    let home = world.nodes[0].escrow.home(&account).expect("a home");
+    let leaver = world.nodes.iter().position(|n| n.vm == home).expect("a member");
+    let now = world.local(leaver);
+    let peers = world.peers(leaver).into_iter().map(|p| Peer { live: p.vm != home, ..p });
+    let node = &mut world.nodes[leaver];
+    node.escrow.set_peers(peers.collect());
+    let actions = node.escrow.tick(now);
+    let returned = |a: &Action| matches!(a, Action::Send { note: Note::Return(_), .. });
+    assert_eq!(actions.iter().filter(|a| returned(a)).count(), MEMBERS - 1);
+    assert_ne!(node.escrow.home(&account), Some(home));
+}
+
 /// A pool that is asked before it has borrowed anything must not put its members off for long.
 #[test]
 fn an_ask_before_the_first_loan_is_repeated_soon() {
--- a/tests/keys.rs
+++ b/tests/keys.rs
@@ -100,6 +100,9 @@
         let named = run.seen.matches("x-shallot-customer:").count();
         assert_eq!(named, 1, "the customer is named once:\n{}", run.seen);
         assert_ne!(run.request, "forged");
+        for (name, _) in &spoofs[2..6] {
+            assert!(!run.seen.contains(&format!("{name}:")), "{name} went on:\n{}", run.seen);
+        }
     }
     let refused = [
         ("another customer's route", Call::get("/desk/private").key(&b), 403),
