--- a/src/net/serve.rs
+++ b/src/net/serve.rs
@@ -225,6 +225,11 @@
     response
 }
 
+/// A response with a body of plain text.
+pub fn text_response(status: StatusCode, text: &str) -> Response<Bytes> {
+    bytes_response(status, "text/plain", Bytes::from(text.to_owned()))
+}
+
 /// A response with a JSON body.
 pub fn json_response(status: StatusCode, value: &impl serde::Serialize) -> Response<Bytes> {
     let body = serde_json::to_vec(value).unwrap_or_else(|e| e.to_string().into_bytes());
--- a/src/node/egress.rs
+++ b/src/node/egress.rs
@@ -6,7 +6,6 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use futures_util::future::join_all;
 use http::{HeaderValue, Request, Response, Uri};
 use rand::rngs::SmallRng;
 use tokio::sync::oneshot;
@@ -20,16 +19,7 @@
 use crate::zone::Roster;
 
 use super::trace::{SpanEnd, SpanId};
-use super::{Node, peers, sanitize, small_rng};
-
-/// Time between probes of a target.
-const PROBE_EVERY: Duration = Duration::from_millis(500);
-/// Longest time for the answer to a probe.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
-/// Time between looks at waiting requests.
-const TICK: Duration = Duration::from_millis(20);
-/// Path at which a target reports its load.
-const LOAD_PATH: &str = "/.load";
+use super::{Node, probe, sanitize, small_rng};
 
 /// The targets that this VM owns.
 #[derive(Default)]
@@ -50,12 +40,6 @@
     seen: BTreeMap<TargetId, Instant>,
 }
 
-/// The load report of a target.
-#[derive(serde::Deserialize)]
-struct Report {
-    running: u32,
-}
-
 impl Egress {
     /// Gives the books the targets whose slices this VM owns.
     pub(crate) fn follow(&self, now: Instant, me: &Identity, view: &View, slices: &[u16]) {
@@ -88,6 +72,16 @@
         inner.books.iter().map(load).collect()
     }
 
+    /// The services that have had targets here.
+    pub(crate) fn services(&self) -> Vec<ServiceId> {
+        self.inner.lock().expect("egress lock").books.keys().cloned().collect()
+    }
+
+    /// True once after there have been new targets.
+    pub(crate) fn take_unprobed(&self) -> bool {
+        self.unprobed.swap(false, Ordering::Relaxed)
+    }
+
     /// Requests that run at targets.
     pub(crate) fn busy(&self) -> u32 {
         self.inner.lock().expect("egress lock").books.values().map(Book::busy).sum()
@@ -118,7 +112,11 @@
     }
 
     /// Acts on a service's book and delivers what follows to the waiting requests.
-    fn act(&self, service: &ServiceId, act: impl FnOnce(&mut Book, &mut SmallRng) -> Vec<Step>) {
+    pub(crate) fn act(
+        &self,
+        service: &ServiceId,
+        act: impl FnOnce(&mut Book, &mut SmallRng) -> Vec<Step>,
+    ) {
         let mut inner = self.inner.lock().expect("egress lock");
         let Inner { books, waiting, rng, .. } = &mut *inner;
         let rng = rng.get_or_insert_with(small_rng);
@@ -337,7 +335,7 @@
         return failed(Outcome::NotReached, target, cause);
     }
     // A target that died refuses new connections; one that is only slow does not.
-    let probe = probe(node, held.slot.addr).await;
+    let probe = probe::probe(node, held.slot.addr).await;
     if probe.is_err_and(|e| e.refused) {
         held.ended = Ended::Died;
         return failed(Outcome::Died, target, cause);
@@ -383,66 +381,6 @@
     Answer { outcome: outcome.into(), target: target.to_owned(), cause, ..Answer::default() }
 }
 
-/// Probes targets and lets waiting requests time out, until the daemon ends.
-pub(crate) async fn tick(node: std::sync::Arc<Node>) {
-    let mut next_probe = Instant::now();
-    loop {
-        let now = Instant::now();
-        let services: Vec<ServiceId> =
-            node.egress.inner.lock().expect("egress lock").books.keys().cloned().collect();
-        for service in &services {
-            node.egress.act(service, |book, rng| book.tick(now, rng));
-        }
-        let unprobed = node.egress.unprobed.swap(false, Ordering::Relaxed);
-        if unprobed || now >= next_probe {
-            next_probe = now + PROBE_EVERY;
-            let node = node.clone();
-            tokio::spawn(async move {
-                probe_all(&node).await;
-                if unprobed {
-                    // The others should know of the new slots at once.
-                    peers::beat_soon(&node);
-                }
-            });
-        }
-        tokio::time::sleep(TICK).await;
-    }
-}
-
-async fn probe_all(node: &Node) {
-    let probes = node.egress.targets().into_iter().map(|(service, known, _, _)| async move {
-        let outcome = probe(node, known.addr).await;
-        let now = Instant::now();
-        match outcome {
-            Ok(running) => node
-                .egress
-                .act(&service, |book, rng| book.probed(now, &known.id, Some(running), rng)),
-            Err(e) if e.refused => {
-                node.egress.act(&service, |book, rng| book.gone(now, &known.id, rng));
-            }
-            Err(_) => {
-                node.egress.act(&service, |book, rng| book.probed(now, &known.id, None, rng));
-            }
-        }
-    });
-    join_all(probes).await;
-}
-
-/// Asks a target for its load, on a new connection.
-async fn probe(node: &Node, addr: std::net::SocketAddr) -> Result<u32, HttpError> {
-    let mut request = Request::new(Bytes::new());
-    *request.uri_mut() = format!("http://{addr}{LOAD_PATH}").parse().expect("addresses are URIs");
-    let response = node.client.send_fresh(request, PROBE_TIMEOUT).await?;
-    let report = serde_json::from_slice::<Report>(response.body());
-    report.map(|r| r.running).map_err(|e| HttpError {
-        step: "read load report",
-        peer: addr.to_string(),
-        cause: e.to_string(),
-        sent: true,
-        refused: false,
-    })
-}
-
 impl Inner {
     /// Learns when targets came on the platform's list, and forgets those that have gone.
     fn see(&mut self, now: Instant, view: &View) {
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -120,7 +120,7 @@
         let node = &self.0;
         match request.uri().path() {
             LOOKUP_PATH => lookup::respond(node, &request),
-            READY_PATH => super::operators::ready(node),
+            READY_PATH => super::status::ready(node),
             _ => {
                 log::debug!("ingress: {from} calls {}.", request.uri().path());
                 serve(node, &request).await
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -1,6 +1,7 @@
 //! The daemon: the shells that connect the deciding parts to sockets, clocks and tasks.
 
 mod attempt;
+mod changes;
 mod egress;
 mod escrow;
 mod fleet;
@@ -13,10 +14,12 @@
 mod operators;
 mod peers;
 mod planner;
+mod probe;
 mod records;
 mod refusal;
 mod run;
 mod sanitize;
+mod status;
 mod trace;
 mod watcher;
 
@@ -37,8 +40,9 @@
 use crate::store::{HttpStore, Store};
 use crate::target::Poison;
 
-pub use operators::{Changed, ShiftOrder, Shown, Status};
+pub use changes::{Changed, ShiftOrder, Shown};
 pub use run::{Daemon, Ports};
+pub use status::Status;
 
 /// What all parts of a daemon share.
 pub(crate) struct Node {
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -18,7 +18,7 @@
 use super::operators::Operating;
 use super::peers::Answering;
 use super::trace::Tracer;
-use super::{Node, egress, escrow, fleet, peers, planner, unix_millis, watcher};
+use super::{Node, escrow, fleet, peers, planner, probe, unix_millis, watcher};
 
 /// Time between looks at whether the daemon is idle.
 const IDLE_LOOK: Duration = Duration::from_millis(20);
@@ -85,7 +85,7 @@
             tokio::spawn(peers::beat(node.clone())),
             tokio::spawn(fleet::run(node.clone())),
             tokio::spawn(escrow::run(node.clone())),
-            tokio::spawn(egress::tick(node.clone())),
+            tokio::spawn(probe::run(node.clone())),
             tokio::spawn(planner::run(node.clone())),
         ];
         log::info!("daemon: {} of zone {} has started.", node.me.vm, node.me.place.zone);
--- a/src/standin/link.rs
+++ b/src/standin/link.rs
@@ -16,9 +16,8 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
-use super::store::plain;
 use crate::common::record;
-use crate::net::{Respond, Server};
+use crate::net::{Respond, Server, text_response};
 
 /// Bytes read at once.
 const CHUNK_BYTES: usize = 64 << 10;
@@ -92,11 +91,11 @@
             (Method::POST, "/faults") => match serde_json::from_slice(request.body()) {
                 Ok(faults) => {
                     self.0.send_replace(faults);
-                    plain(StatusCode::OK, "")
+                    text_response(StatusCode::OK, "")
                 }
-                Err(e) => plain(StatusCode::BAD_REQUEST, &e.to_string()),
+                Err(e) => text_response(StatusCode::BAD_REQUEST, &e.to_string()),
             },
-            _ => plain(StatusCode::NOT_FOUND, "POST /faults"),
+            _ => text_response(StatusCode::NOT_FOUND, "POST /faults"),
         }
     }
 }
--- a/src/standin/store.rs
+++ b/src/standin/store.rs
@@ -15,7 +15,7 @@
 
 use crate::common::record;
 use crate::model::{Kind, ObjectId, VmList};
-use crate::net::{Respond, Server, bytes_response, json_response};
+use crate::net::{Respond, Server, bytes_response, json_response, text_response};
 use crate::store::{Expect, MemoryStore, Outcome, Store, StoreError, Stored, update_object};
 
 /// How long a lost answer keeps its caller waiting.
@@ -124,7 +124,7 @@
             tokio::time::sleep(LOST).await;
         }
         if faults.mode == StoreMode::Down {
-            return plain(StatusCode::SERVICE_UNAVAILABLE, "the store is down");
+            return text_response(StatusCode::SERVICE_UNAVAILABLE, "the store is down");
         }
         tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
         let path = request.uri().path().to_owned();
@@ -132,12 +132,12 @@
             return core.watch(request.uri().query().unwrap_or_default()).await;
         }
         let Some(path) = path.strip_prefix("/v1/objects/") else {
-            return plain(StatusCode::NOT_FOUND, "no such path");
+            return text_response(StatusCode::NOT_FOUND, "no such path");
         };
         match *request.method() {
             Method::GET => core.read(path).await,
             Method::PUT => core.write(path, &request).await,
-            _ => plain(StatusCode::METHOD_NOT_ALLOWED, "GET or PUT"),
+            _ => text_response(StatusCode::METHOD_NOT_ALLOWED, "GET or PUT"),
         }
     }
 }
@@ -155,7 +155,7 @@
                 let answer = bytes_response(StatusCode::OK, "application/json", stored.value);
                 with_revision(answer, stored.revision)
             }
-            None => plain(StatusCode::NOT_FOUND, "nothing is stored here"),
+            None => text_response(StatusCode::NOT_FOUND, "nothing is stored here"),
         }
     }
 
@@ -163,15 +163,18 @@
         self.counts.writes.fetch_add(1, Ordering::Relaxed);
         self.counts.bytes.fetch_add(request.body().len() as u64, Ordering::Relaxed);
         let Some(expect) = expectation(request) else {
-            return plain(StatusCode::PRECONDITION_REQUIRED, "If-Match or If-None-Match: *");
+            return text_response(
+                StatusCode::PRECONDITION_REQUIRED,
+                "If-Match or If-None-Match: *",
+            );
         };
         let outcome = self.store.write(path, request.body().clone(), expect).await;
         if self.loses_answer() {
             tokio::time::sleep(LOST).await;
         }
         match outcome {
-            Ok(revision) => with_revision(plain(StatusCode::OK, ""), revision),
-            Err(e) => plain(StatusCode::PRECONDITION_FAILED, &e.cause),
+            Ok(revision) => with_revision(text_response(StatusCode::OK, ""), revision),
+            Err(e) => text_response(StatusCode::PRECONDITION_FAILED, &e.cause),
         }
     }
 
@@ -191,7 +194,7 @@
         let wait = Duration::from_millis(wait);
         match self.store.watch(&prefix, after, wait).await {
             Ok(changes) => json_response(StatusCode::OK, &changes),
-            Err(e) => plain(StatusCode::INTERNAL_SERVER_ERROR, &e.to_string()),
+            Err(e) => text_response(StatusCode::INTERNAL_SERVER_ERROR, &e.to_string()),
         }
     }
 
@@ -257,18 +260,18 @@
             (Method::POST, "/faults") => match serde_json::from_slice(request.body()) {
                 Ok(faults) => {
                     core.set_faults(faults).await;
-                    plain(StatusCode::OK, "")
+                    text_response(StatusCode::OK, "")
                 }
-                Err(e) => plain(StatusCode::BAD_REQUEST, &e.to_string()),
+                Err(e) => text_response(StatusCode::BAD_REQUEST, &e.to_string()),
             },
             (Method::POST, "/vms") => match serde_json::from_slice(request.body()) {
                 Ok(list) => match core.set_vms(&list).await {
-                    Ok(version) => plain(StatusCode::OK, &version.to_string()),
-                    Err(e) => plain(StatusCode::INTERNAL_SERVER_ERROR, &e.to_string()),
+                    Ok(version) => text_response(StatusCode::OK, &version.to_string()),
+                    Err(e) => text_response(StatusCode::INTERNAL_SERVER_ERROR, &e.to_string()),
                 },
-                Err(e) => plain(StatusCode::BAD_REQUEST, &e.to_string()),
+                Err(e) => text_response(StatusCode::BAD_REQUEST, &e.to_string()),
             },
-            _ => plain(StatusCode::NOT_FOUND, "GET /counts, POST /faults or POST /vms"),
+            _ => text_response(StatusCode::NOT_FOUND, "GET /counts, POST /faults or POST /vms"),
         }
     }
 }
@@ -291,7 +294,3 @@
     response.headers_mut().insert(ETAG, value);
     response
 }
-
-pub(super) fn plain(status: StatusCode, text: &str) -> Response<Bytes> {
-    bytes_response(status, "text/plain", Bytes::from(text.to_owned()))
-}
--- a/src/standin/target.rs
+++ b/src/standin/target.rs
@@ -19,9 +19,8 @@
 use macro_rules_attribute::apply;
 use tokio::net::TcpListener;
 
-use super::store::plain;
 use crate::common::record;
-use crate::net::{Respond, Server, json_response, whole_body};
+use crate::net::{Respond, Server, json_response, text_response, whole_body};
 
 /// How long a silent connection or a stalled answer keeps its caller waiting.
 const SILENCE: Duration = Duration::from_secs(120);
@@ -121,7 +120,7 @@
         let running = core.running.fetch_add(1, Ordering::Relaxed) + 1;
         core.peak.fetch_max(running, Ordering::Relaxed);
         if faults.shed || running > core.slots {
-            let mut shed = plain(StatusCode::SERVICE_UNAVAILABLE, "shed");
+            let mut shed = text_response(StatusCode::SERVICE_UNAVAILABLE, "shed");
             shed.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static("1"));
             shed.headers_mut().insert("x-shed", HeaderValue::from_static("1"));
             return shed;
@@ -193,18 +192,18 @@
                 json_response(StatusCode::OK, &*core.runs.lock().expect("runs lock"))
             }
             (Method::GET, "/peak") => {
-                plain(StatusCode::OK, &core.peak.load(Ordering::Relaxed).to_string())
+                text_response(StatusCode::OK, &core.peak.load(Ordering::Relaxed).to_string())
             }
             (Method::POST, "/faults") => {
                 match serde_json::from_slice::<TargetFaults>(request.body()) {
                     Ok(faults) => {
                         core.set_faults(faults);
-                        plain(StatusCode::OK, "")
+                        text_response(StatusCode::OK, "")
                     }
-                    Err(e) => plain(StatusCode::BAD_REQUEST, &e.to_string()),
+                    Err(e) => text_response(StatusCode::BAD_REQUEST, &e.to_string()),
                 }
             }
-            _ => plain(StatusCode::NOT_FOUND, "GET /runs, GET /peak or POST /faults"),
+            _ => text_response(StatusCode::NOT_FOUND, "GET /runs, GET /peak or POST /faults"),
         }
     }
 }
--- a/tests/targets.rs
+++ b/tests/targets.rs
@@ -183,7 +183,8 @@
     let print =
         |path: &str, body: &str| Poison::fingerprint(&customer, "GET", path, body.as_bytes());
     let bad = print("/read", "x");
-    let cases: [(&str, &[(&str, &str)], bool); 4] = [
+    type Deaths = &'static [(&'static str, &'static str)];
+    let cases: [(&str, Deaths, bool); 4] = [
         ("no death", &[], false),
         ("one death", &[("x", "1")], false),
         ("one death heard twice", &[("x", "1"), ("x", "1")], false),
