Bound the wait for a slot, and tidy what is public

Found by reading: a request for a service that is just being removed had no book to answer it and would have waited for good; the wait now ends at the request's own time.

--- a/src/escrow/account.rs
+++ b/src/escrow/account.rs
@@ -211,16 +211,6 @@
         self.queue.len()
     }
 
-    /// Requests a second at this member.
-    pub fn demand(&mut self, now: Instant) -> f64 {
-        self.demand.rate(now)
-    }
-
-    /// Tokens, rate and capacity of the pool held here.
-    pub fn pool_level(&mut self, now: Instant) -> (f64, f64, f64) {
-        self.pool.level(now)
-    }
-
     /// The member that holds the pool in this member's view. A member that leaves lists itself as
     /// not live, so that its pools go to others while it still runs.
     pub fn home(&self, peers: &[Peer]) -> VmId {
--- a/src/escrow/pool.rs
+++ b/src/escrow/pool.rs
@@ -64,11 +64,6 @@
         self.loans.get(lender).map_or(0, |l| l.id)
     }
 
-    /// Members whose floors are held.
-    pub fn lenders(&self) -> impl Iterator<Item = &VmId> {
-        self.loans.keys()
-    }
-
     /// Tokens at hand, and the sums of the loans: tokens, rate and capacity.
     pub fn level(&mut self, now: Instant) -> (f64, f64, f64) {
         self.advance(now);
--- a/src/node/egress.rs
+++ b/src/node/egress.rs
@@ -286,7 +286,9 @@
         avoid: forward.avoid.clone(),
     };
     egress.act(service, |book, rng| book.admit(now, work, rng));
-    let slot = (&mut waiter.receiver).await.ok().flatten();
+    // The book answers in time; a service that is just being removed has none.
+    let answer = tokio::time::timeout_at(until.into(), &mut waiter.receiver).await;
+    let slot = answer.ok().and_then(Result::ok).flatten();
     drop(waiter);
     Some(Held { node, service: service.clone(), slot: slot?, ended: Ended::GivenUp })
 }
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -291,14 +291,6 @@
     }
 }
 
-/// Demand of one account, in requests a second.
-#[derive(Clone, PartialEq, Message)]
-pub struct Demand {
-    /// Requests a second.
-    #[prost(double, tag = "1")]
-    pub rate: f64,
-}
-
 /// A request on its way to a target.
 #[derive(Clone, PartialEq, Message)]
 pub struct Forward {
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -10,9 +10,8 @@
 pub use error::PeerError;
 pub use handshake::{Identity, Secret};
 pub use message::{
-    Answer, Body, Cancel, Death, Demand, Empty, Envelope, EscrowNote, Explain, Explained, Field,
-    Forward, Heartbeat, Home, Load, Objects, Outcome, VersionList, WireObject, WireVersion, ask,
-    outcome,
+    Answer, Body, Cancel, Death, Empty, Envelope, EscrowNote, Explain, Explained, Field, Forward,
+    Heartbeat, Home, Load, Objects, Outcome, VersionList, WireObject, WireVersion, ask, outcome,
 };
 pub use server::{PeerHandler, PeerServer};
 
