--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -13,7 +13,7 @@
 use super::ingress::Admitted;
 use super::records::Trail;
 use super::refusal::{Reason, Refusal};
-use super::{Node, egress, peers, sanitize, small_rng};
+use super::{Node, egress, peers, sanitize};
 
 /// Most VMs that one request is sent to.
 const TRIES: u32 = 4;
@@ -104,7 +104,7 @@
         headroom: admitted.document.limits.headroom,
         closed: &closed,
     };
-    choose(&origin, &candidates, &mut small_rng()).cloned()
+    choose(&origin, &candidates, &mut rand::rng()).cloned()
 }
 
 fn own_candidate(node: &Node, admitted: &Admitted, now: Instant) -> Option<Candidate> {
--- a/src/node/fleet.rs
+++ b/src/node/fleet.rs
@@ -156,11 +156,8 @@
         if peer.client.refusals() >= REFUSALS && listed == Some(known.incarnation) {
             log::warn!("fleet: The process of {} has ended.", known.vm);
             change(node, "remove", |roster| {
-                match roster.remove(&known.vm, known.incarnation) {
-                    // Another member was faster, or the VM is back in a new life.
-                    Err(RosterError::Absent { .. }) => Ok(()),
-                    other => other,
-                }
+                // Another member may be faster, or the VM back in a new life.
+                unless_absent(roster.remove(&known.vm, known.incarnation))
             })
             .await?;
         }
@@ -217,21 +214,14 @@
         tokio::time::sleep(GIVE_LOOK).await;
     }
     let (vm, incarnation) = (&node.me.vm, node.me.incarnation);
-    change(node, "start leaving", |roster| match roster.start_leaving(vm, incarnation) {
-        Err(RosterError::Absent { .. }) => Ok(()),
-        other => other,
-    })
-    .await
+    change(node, "start leaving", |roster| unless_absent(roster.start_leaving(vm, incarnation)))
+        .await
 }
 
 /// Leaves the roster. Nothing that this VM owns is in use any more.
 pub(crate) async fn leave(node: &Node) -> Result<(), FleetError> {
     let (vm, incarnation) = (&node.me.vm, node.me.incarnation);
-    change(node, "leave", |roster| match roster.remove(vm, incarnation) {
-        Err(RosterError::Absent { .. }) => Ok(()),
-        other => other,
-    })
-    .await
+    change(node, "leave", |roster| unless_absent(roster.remove(vm, incarnation))).await
 }
 
 /// Stops the use of everything that this VM owns; true once neither it nor a borrower uses any.
@@ -248,6 +238,14 @@
     node.fleet.with(|h| h.may_give(now)) && node.escrow.with(|e| e.is_settled(now))
 }
 
+/// Takes it as done if the member has left the roster already.
+fn unless_absent(outcome: Result<(), RosterError>) -> Result<(), RosterError> {
+    match outcome {
+        Err(RosterError::Absent { .. }) => Ok(()),
+        other => other,
+    }
+}
+
 async fn change(
     node: &Node,
     step: &str,
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -88,11 +88,14 @@
 /// Sends heartbeats until the daemon ends.
 pub(crate) async fn beat(node: Arc<Node>) {
     loop {
-        for peer in node.mesh.peers() {
-            let node = node.clone();
-            tokio::spawn(async move { beat_one(&node, &peer).await });
+        let now = Instant::now();
+        let beat = own_beat(&node, now);
+        let peers = node.mesh.peers();
+        let live = peers.iter().filter(|p| p.is_live(now)).count();
+        for peer in peers {
+            let (node, beat) = (node.clone(), beat.clone());
+            tokio::spawn(async move { beat_one(&node, &peer, beat).await });
         }
-        let live = node.mesh.peers().iter().filter(|p| p.is_live(Instant::now())).count();
         node.metrics.live_peers.set(live as i64);
         tokio::time::sleep(HEARTBEAT_EVERY).await;
     }
@@ -104,12 +107,12 @@
     node.mesh.broadcast(&Body::Heartbeat(beat));
 }
 
-async fn beat_one(node: &Node, peer: &Peer) {
+async fn beat_one(node: &Node, peer: &Peer, beat: Heartbeat) {
     if peer.client.refusals() >= DEAD_REFUSALS {
         escrow::member_died(node, &peer.known.vm, peer.known.incarnation);
     }
     let sent = Instant::now();
-    let body = Body::Heartbeat(own_beat(node, sent));
+    let body = Body::Heartbeat(beat);
     let Ok(Body::Heartbeat(beat)) = peer.client.call(body, BEAT_TIMEOUT).await else {
         peer.miss();
         return;
--- a/src/standin/link.rs
+++ b/src/standin/link.rs
@@ -16,6 +16,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
+use super::read_json;
 use crate::common::record;
 use crate::net::{Respond, Server, text_response};
 
@@ -88,12 +89,12 @@
 impl Respond for Control {
     async fn respond(&self, request: Request<Bytes>, _: SocketAddr) -> Response<Bytes> {
         match (request.method().clone(), request.uri().path()) {
-            (Method::POST, "/faults") => match serde_json::from_slice(request.body()) {
+            (Method::POST, "/faults") => match read_json(&request) {
                 Ok(faults) => {
                     self.0.send_replace(faults);
                     text_response(StatusCode::OK, "")
                 }
-                Err(e) => text_response(StatusCode::BAD_REQUEST, &e.to_string()),
+                Err(answer) => *answer,
             },
             _ => text_response(StatusCode::NOT_FOUND, "POST /faults"),
         }
--- a/src/standin/store.rs
+++ b/src/standin/store.rs
@@ -13,6 +13,7 @@
 use macro_rules_attribute::apply;
 use tokio::net::TcpListener;
 
+use super::read_json;
 use crate::common::record;
 use crate::model::{Kind, ObjectId, VmList};
 use crate::net::{Respond, Server, bytes_response, json_response, text_response};
@@ -257,19 +258,19 @@
         let core = &self.0;
         match (request.method().clone(), request.uri().path()) {
             (Method::GET, "/counts") => json_response(StatusCode::OK, &core.counts()),
-            (Method::POST, "/faults") => match serde_json::from_slice(request.body()) {
+            (Method::POST, "/faults") => match read_json(&request) {
                 Ok(faults) => {
                     core.set_faults(faults).await;
                     text_response(StatusCode::OK, "")
                 }
-                Err(e) => text_response(StatusCode::BAD_REQUEST, &e.to_string()),
+                Err(answer) => *answer,
             },
-            (Method::POST, "/vms") => match serde_json::from_slice(request.body()) {
+            (Method::POST, "/vms") => match read_json(&request) {
                 Ok(list) => match core.set_vms(&list).await {
                     Ok(version) => text_response(StatusCode::OK, &version.to_string()),
                     Err(e) => text_response(StatusCode::INTERNAL_SERVER_ERROR, &e.to_string()),
                 },
-                Err(e) => text_response(StatusCode::BAD_REQUEST, &e.to_string()),
+                Err(answer) => *answer,
             },
             _ => text_response(StatusCode::NOT_FOUND, "GET /counts, POST /faults or POST /vms"),
         }
--- a/src/standin/target.rs
+++ b/src/standin/target.rs
@@ -19,6 +19,7 @@
 use macro_rules_attribute::apply;
 use tokio::net::TcpListener;
 
+use super::read_json;
 use crate::common::record;
 use crate::net::{Respond, Server, json_response, text_response, whole_body};
 
@@ -194,15 +195,13 @@
             (Method::GET, "/peak") => {
                 text_response(StatusCode::OK, &core.peak.load(Ordering::Relaxed).to_string())
             }
-            (Method::POST, "/faults") => {
-                match serde_json::from_slice::<TargetFaults>(request.body()) {
-                    Ok(faults) => {
-                        core.set_faults(faults);
-                        text_response(StatusCode::OK, "")
-                    }
-                    Err(e) => text_response(StatusCode::BAD_REQUEST, &e.to_string()),
+            (Method::POST, "/faults") => match read_json(&request) {
+                Ok(faults) => {
+                    core.set_faults(faults);
+                    text_response(StatusCode::OK, "")
                 }
-            }
+                Err(answer) => *answer,
+            },
             _ => text_response(StatusCode::NOT_FOUND, "GET /runs, GET /peak or POST /faults"),
         }
     }
