--- a/src/cmd/slopes.rs
+++ b/src/cmd/slopes.rs
@@ -20,7 +20,7 @@
 use crate::peer::{Body, Envelope, EscrowNote, Heartbeat, Load};
 use crate::route::{Candidate, Origin, choose};
 use crate::spread::{Catalog, View};
-use crate::target::{Book, Ended, Known, Rules, Work};
+use crate::targets::{Book, Ended, Known, Rules, Work};
 use crate::zone::{Member, PARTS, Roster};
 
 use super::{Exit, Run};
@@ -206,7 +206,7 @@
             avoid: Vec::new(),
         };
         for step in book.admit(now, work, &mut rng) {
-            if let crate::target::Step::Start(slot) = step {
+            if let crate::targets::Step::Start(slot) = step {
                 let ended = Ended::Answered(Duration::from_millis(5));
                 book.finish(now, &slot.target, ended, &mut rng);
             }
--- /dev/null
+++ b/src/front/ingress.rs
@@ -0,0 +1,350 @@
+//! Callers' requests, from the route to the answer.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use gotham::helpers::http::Body;
+use http::header::{AUTHORIZATION, CONNECTION, CONTENT_LENGTH, COOKIE, HOST, RETRY_AFTER};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, request};
+use rand::Rng;
+use serde::Serialize;
+
+use crate::clock;
+use crate::model::{RegionId, ServiceId};
+use crate::net::{Respond, text_response, whole_body};
+use crate::steer::{Access, Customer, Feed, Fingerprint, Index, Part, Route, fingerprint};
+use crate::targets::Poison;
+
+use super::metrics::Outcome;
+use super::outbound::read_up_to;
+use super::{Front, attempt, rates};
+
+/// Longest body that is read whole before it is sent on, in bytes.
+const HELD_BODY: usize = 64 << 10;
+/// Age of the keys is kept below the bound by this much.
+const REVOKE_MARGIN: Duration = Duration::from_millis(600);
+/// When to come back after a refusal for want of room or knowledge.
+const RETRY_SOON: Duration = Duration::from_millis(400);
+/// When to come back after a refusal for the rate.
+const RETRY_RATE: Duration = Duration::from_millis(700);
+
+/// Why a request got an answer of the front's own.
+#[derive(Clone, Debug)]
+pub(crate) struct Refused {
+    pub(crate) status: StatusCode,
+    pub(crate) reason: &'static str,
+    pub(crate) detail: String,
+    pub(crate) retry: Option<Duration>,
+}
+
+impl Refused {
+    pub(crate) fn new(status: StatusCode, reason: &'static str, detail: impl Into<String>) -> Self {
+        Self { status, reason, detail: detail.into(), retry: None }
+    }
+
+    /// A refusal of a request that has not run.
+    pub(crate) fn not_run(reason: &'static str, detail: impl Into<String>) -> Self {
+        let refused = Self::new(StatusCode::SERVICE_UNAVAILABLE, reason, detail);
+        Self { retry: Some(RETRY_SOON), ..refused }
+    }
+}
+
+/// The body of a request.
+pub(crate) enum Content {
+    /// All of it.
+    Whole(Bytes),
+    /// What has been read, and the rest; it can be sent once.
+    Rest(Vec<Bytes>, Body),
+}
+
+/// A request that may run.
+pub(crate) struct Admitted {
+    pub(crate) id: String,
+    pub(crate) head: request::Parts,
+    /// True if the body was not read whole before it is sent on.
+    pub(crate) long: bool,
+    pub(crate) index: Arc<Index>,
+    pub(crate) route: Route,
+    pub(crate) service: ServiceId,
+    pub(crate) customer: Option<Customer>,
+    pub(crate) homes: Option<Vec<RegionId>>,
+    pub(crate) object: Fingerprint,
+    pub(crate) arrived: Duration,
+    /// When the final answer is due.
+    pub(crate) due: Duration,
+    /// Same for the same customer, method, path and body; none if the body is too long.
+    pub(crate) poison: Option<String>,
+}
+
+/// What is logged of a request's end.
+#[derive(Serialize)]
+struct Ended<'a> {
+    id: &'a str,
+    route: &'a str,
+    customer: &'a str,
+    status: u16,
+    reason: &'a str,
+    detail: &'a str,
+    version: u64,
+    table_age_ms: u64,
+    targets: &'a str,
+    ms: u64,
+}
+
+/// What is known of a request for the log.
+#[derive(Default)]
+pub(crate) struct Trail {
+    id: String,
+    route: String,
+    customer: String,
+    /// Targets that it was sent to and what became of it there.
+    pub(crate) targets: String,
+}
+
+/// Answers callers.
+pub(crate) struct Calling(pub(crate) Arc<Front>);
+
+#[async_trait]
+impl Respond for Calling {
+    async fn respond(&self, _: Request<Bytes>, _: SocketAddr) -> Response<Bytes> {
+        text_response(StatusCode::NOT_IMPLEMENTED, "requests are streamed")
+    }
+
+    async fn respond_stream(&self, request: Request<Body>, _: SocketAddr) -> Response<Body> {
+        let front = &self.0;
+        let arrived = clock::now();
+        let _active = Active::new(front);
+        let mut trail = Trail::default();
+        let outcome = serve(front, request, arrived, &mut trail).await;
+        let took = clock::now().saturating_sub(arrived);
+        let mut response = match outcome {
+            Ok(response) => {
+                front.note_end(&trail, response.status(), "answered", "", took);
+                response
+            }
+            Err(refused) => {
+                front.note_end(&trail, refused.status, refused.reason, &refused.detail, took);
+                refusal(&refused)
+            }
+        };
+        if front.is_leaving() {
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+}
+
+/// Counts a request until it has its answer.
+struct Active<'a>(&'a Front);
+
+impl<'a> Active<'a> {
+    fn new(front: &'a Front) -> Self {
+        front.active.fetch_add(1, Ordering::Relaxed);
+        Self(front)
+    }
+}
+
+impl Drop for Active<'_> {
+    fn drop(&mut self) {
+        self.0.active.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+async fn serve(
+    front: &Arc<Front>,
+    request: Request<Body>,
+    arrived: Duration,
+    trail: &mut Trail,
+) -> Result<Response<Body>, Refused> {
+    let (head, body) = request.into_parts();
+    let text = |name: &http::HeaderName| head.headers.get(name).and_then(|v| v.to_str().ok());
+    trail.id = text(&front.headers.attempt).unwrap_or_default().to_owned();
+    if front.is_closed() {
+        return Err(Refused::not_run("stopping", "this VM is about to stop"));
+    }
+    let index = front.known.index();
+    let index = index.ok_or_else(|| Refused::not_run("no-table", "no configuration is known"))?;
+    let host = text(&HOST).or_else(|| head.uri.host());
+    let host =
+        host.ok_or_else(|| Refused::new(StatusCode::BAD_REQUEST, "no-host", "Host is missing"))?;
+    let found = index.route(host, head.uri.path());
+    let route = found
+        .map(|m| m.route.clone())
+        .ok_or_else(|| Refused::new(StatusCode::NOT_FOUND, "no-route", "no route matches"))?;
+    trail.route.clone_from(&route.name);
+    let access = index.access(&route, key_of(front, &head.headers));
+    let customer = match access {
+        Access::Open => None,
+        Access::Customer(c) => Some(c.clone()),
+        Access::Denied => {
+            return Err(Refused::new(StatusCode::UNAUTHORIZED, "no-key", "the key is nobody's"));
+        }
+    };
+    trail.customer = customer.as_ref().map(|c| c.id.to_string()).unwrap_or_default();
+    check_size(&head.headers, &index)?;
+    if let Some(customer) = &customer {
+        check_age(front, arrived)?;
+        if !rates::take(front, customer).await {
+            let detail = format!("{} has used up its rate", customer.id);
+            let refused = Refused::new(StatusCode::TOO_MANY_REQUESTS, "over-rate", detail);
+            return Err(Refused { retry: Some(RETRY_RATE), ..refused });
+        }
+    }
+    let homes = index.homes(&route, access);
+    let due = arrived + Duration::from_millis(route.timeout_ms).min(patience(front, &head.headers));
+    let content = read_body(body, due).await?;
+    let poison = match &content {
+        Content::Whole(body) => {
+            let id = customer.as_ref().map(|c| c.id.clone()).unwrap_or_default();
+            Some(Poison::fingerprint(&id, head.method.as_str(), &path_of(&head), body))
+        }
+        Content::Rest(..) => None,
+    };
+    let object = object_of(front, &head.headers, &route);
+    let service = choose_part(&route.parts)
+        .ok_or_else(|| Refused::not_run("no-service", "the route has no service"))?;
+    let admitted = Admitted {
+        id: trail.id.clone(),
+        head,
+        long: matches!(content, Content::Rest(..)),
+        index: index.clone(),
+        route,
+        service,
+        customer,
+        homes,
+        object,
+        arrived,
+        due,
+        poison,
+    };
+    let left = admitted.due.saturating_sub(clock::now());
+    let timeout_ms = admitted.route.timeout_ms;
+    match tokio::time::timeout(left, attempt::run(front, admitted, content, trail)).await {
+        Ok(outcome) => outcome,
+        Err(_) => {
+            let detail = format!("no answer within the route's {timeout_ms} ms or the deadline");
+            Err(Refused::new(StatusCode::GATEWAY_TIMEOUT, "timeout", detail))
+        }
+    }
+}
+
+/// The key that a caller shows.
+fn key_of<'a>(front: &Front, headers: &'a HeaderMap) -> Option<&'a str> {
+    let value = headers.get(AUTHORIZATION)?.to_str().ok()?;
+    let (scheme, key) = value.split_once(' ')?;
+    scheme.eq_ignore_ascii_case(&front.headers.key_scheme).then_some(key.trim())
+}
+
+fn check_size(headers: &HeaderMap, index: &Index) -> Result<(), Refused> {
+    let bounds = index.table().bounds;
+    let length = headers.get(CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse::<u64>().ok());
+    if length.is_some_and(|l| l > bounds.body_bytes) {
+        return Err(Refused::new(StatusCode::PAYLOAD_TOO_LARGE, "long-body", "the body is too long"));
+    }
+    let size: usize = headers.iter().map(|(n, v)| n.as_str().len() + v.len() + 4).sum();
+    if size as u64 > bounds.head_bytes {
+        let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+        return Err(Refused::new(status, "long-head", "the headers are too long"));
+    }
+    Ok(())
+}
+
+/// A VM that can't know that a key is still valid refuses it.
+fn check_age(front: &Front, now: Duration) -> Result<(), Refused> {
+    let bounds = &front.config.bounds;
+    let age = front.known.table_age(now).unwrap_or(Duration::MAX);
+    if bounds.fail_closed && age + REVOKE_MARGIN > bounds.revoke.0 {
+        let detail = format!("no news of withdrawn keys for {} ms", age.as_millis());
+        return Err(Refused::not_run("keys-old", detail));
+    }
+    Ok(())
+}
+
+/// How long the caller waits.
+fn patience(front: &Front, headers: &HeaderMap) -> Duration {
+    let value = headers.get(&front.headers.deadline).and_then(|v| v.to_str().ok()?.parse().ok());
+    value.map_or(Duration::MAX / 4, Duration::from_millis)
+}
+
+async fn read_body(mut body: Body, due: Duration) -> Result<Content, Refused> {
+    let left = due.saturating_sub(clock::now());
+    match tokio::time::timeout(left, read_up_to(&mut body, HELD_BODY)).await {
+        Ok(Ok((parts, true))) => Ok(Content::Whole(parts.concat().into())),
+        Ok(Ok((parts, false))) => Ok(Content::Rest(parts, body)),
+        Ok(Err(e)) => Err(Refused::new(StatusCode::BAD_REQUEST, "bad-body", e)),
+        Err(_) => Err(Refused::new(StatusCode::REQUEST_TIMEOUT, "slow-body", "the body is late")),
+    }
+}
+
+/// The path with its query, as it was sent.
+pub(crate) fn path_of(head: &request::Parts) -> String {
+    head.uri.path_and_query().map_or_else(|| "/".to_owned(), ToString::to_string)
+}
+
+/// The object of a request; a request without one goes anywhere.
+fn object_of(front: &Front, headers: &HeaderMap, route: &Route) -> Fingerprint {
+    let cookies = headers.get_all(COOKIE).iter().filter_map(|v| v.to_str().ok());
+    let mut pairs = cookies.flat_map(|v| v.split(';')).filter_map(|p| p.trim().split_once('='));
+    match pairs.find(|(name, _)| *name == front.headers.object_cookie) {
+        Some((_, object)) if route.sticky => fingerprint(object.as_bytes()),
+        _ => rand::rng().random(),
+    }
+}
+
+/// Draws a service in proportion to the weights.
+fn choose_part(parts: &[Part]) -> Option<ServiceId> {
+    let total: f64 = parts.iter().map(|p| p.weight.max(0.0)).sum();
+    let mut draw = rand::rng().random_range(0.0..1.0) * total;
+    for part in parts {
+        draw -= part.weight.max(0.0);
+        if draw < 0.0 {
+            return Some(part.service.clone());
+        }
+    }
+    parts.last().map(|p| p.service.clone())
+}
+
+fn refusal(refused: &Refused) -> Response<Body> {
+    let mut response = text_response(refused.status, refused.reason);
+    if let Some(retry) = refused.retry {
+        let seconds = format!("{:.2}", retry.as_secs_f64());
+        if let Ok(value) = HeaderValue::from_str(&seconds) {
+            response.headers_mut().insert(RETRY_AFTER, value);
+        }
+    }
+    response.map(whole_body)
+}
+
+impl Front {
+    fn note_end(
+        &self,
+        trail: &Trail,
+        status: StatusCode,
+        reason: &str,
+        detail: &str,
+        took: Duration,
+    ) {
+        let now = clock::now();
+        let outcome = Outcome { status: status.as_u16(), reason: reason.to_owned() };
+        self.metrics.ended(outcome, took);
+        let age = self.known.parts().feeds[Feed::Table as usize].age(now).unwrap_or_default();
+        let ended = Ended {
+            id: &trail.id,
+            route: &trail.route,
+            customer: &trail.customer,
+            status: status.as_u16(),
+            reason,
+            detail,
+            version: self.known.index().map_or(0, |i| i.table().version),
+            table_age_ms: age.as_millis() as u64,
+            targets: &trail.targets,
+            ms: took.as_millis() as u64,
+        };
+        let kind = if status.is_success() { "request" } else { "failure" };
+        self.decisions.note(kind, &ended);
+    }
+}
--- /dev/null
+++ b/src/front/knowledge.rs
@@ -0,0 +1,171 @@
+//! What a front knows: copies of the store's feeds, and the deciding parts that follow them.
+
+use std::collections::{BTreeSet, HashMap};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use arc_swap::ArcSwapOption;
+use bytes::Bytes;
+use serde::de::DeserializeOwned;
+
+use crate::model::{Incarnation, TargetId, VmId, ZoneId};
+use crate::steer::{
+    Delta, Feed, Fleet, Index, Pool, Purse, Replica, Retries, Table, TargetBook, VmEntry,
+};
+use crate::targets::Poison;
+
+use super::config::FrontConfig;
+
+/// Age of the configuration from which on the store counts as having been away.
+const AWAY: Duration = Duration::from_millis(2_600);
+/// Time after the store's return for which lost entries of targets are not believed.
+const RETURN: Duration = Duration::from_millis(2_300);
+
+/// The name of the one object of the table's feed.
+const TABLE_NAME: &str = "main";
+
+/// The parts that decide, behind one lock that is never held across an await.
+pub(crate) struct Parts {
+    pub(crate) feeds: [Replica; 4],
+    pub(crate) book: TargetBook,
+    pub(crate) fleet: Fleet,
+    pub(crate) pool: Pool,
+    pub(crate) purse: Purse,
+    pub(crate) retries: Retries,
+    pub(crate) poison: Poison,
+    /// Until then, entries of targets that are missing may come back.
+    unsure_until: Duration,
+}
+
+/// What a front knows.
+pub(crate) struct Knowledge {
+    parts: Mutex<Parts>,
+    index: ArcSwapOption<Index>,
+}
+
+impl Knowledge {
+    pub(crate) fn new(config: &FrontConfig, now: Duration) -> Self {
+        let regions: HashMap<ZoneId, _> =
+            config.zones.iter().map(|(z, r)| (z.clone(), r.clone())).collect();
+        let parts = Parts {
+            feeds: Default::default(),
+            book: TargetBook::new(regions),
+            fleet: Fleet::new(config.vm.clone(), config.place(), config.zones.clone()),
+            pool: Pool::default(),
+            purse: Purse::new(now + Purse::start_pause()),
+            retries: Retries::new(config.retry_bounds()),
+            poison: Poison::default(),
+            unsure_until: Duration::ZERO,
+        };
+        Self { parts: Mutex::new(parts), index: ArcSwapOption::empty() }
+    }
+
+    pub(crate) fn parts(&self) -> MutexGuard<'_, Parts> {
+        self.parts.lock().expect("parts lock")
+    }
+
+    /// The configuration in force.
+    pub(crate) fn index(&self) -> Option<Arc<Index>> {
+        self.index.load_full()
+    }
+
+    /// The configuration's age.
+    pub(crate) fn table_age(&self, now: Duration) -> Option<Duration> {
+        self.parts().feeds[Feed::Table as usize].age(now)
+    }
+
+    /// Takes in news of a feed that were true at `fresh`. Returns the table's version if it is a
+    /// new one.
+    pub(crate) fn offer(
+        &self,
+        now: Duration,
+        feed: Feed,
+        delta: Delta,
+        fresh: Duration,
+    ) -> Option<u64> {
+        let mut parts = self.parts();
+        let away = parts.feeds[Feed::Table as usize].age(now).is_some_and(|age| age > AWAY);
+        if away {
+            parts.unsure_until = now + RETURN;
+        }
+        let first = parts.feeds[feed as usize].fresh().is_none();
+        let news = parts.feeds[feed as usize].apply(delta, fresh);
+        let bodies: Vec<(String, Option<Bytes>)> = {
+            let held: HashMap<&str, &Bytes> = parts.feeds[feed as usize].items().collect();
+            news.into_iter().map(|n| (n.clone(), held.get(n.as_str()).map(|b| (*b).clone()))).collect()
+        };
+        match feed {
+            Feed::Table => return self.follow_table(bodies),
+            Feed::Targets => parts.follow_targets(now, bodies),
+            Feed::Evacuations if !bodies.is_empty() => parts.follow_evacuations(now),
+            Feed::Evacuations => {}
+            Feed::Vms => parts.follow_vms(now, bodies, first),
+        }
+        None
+    }
+
+    fn follow_table(&self, bodies: Vec<(String, Option<Bytes>)>) -> Option<u64> {
+        let (_, body) = bodies.into_iter().find(|(name, _)| name == TABLE_NAME)?;
+        let table: Table = decode("config", TABLE_NAME, &body?)?;
+        let version = table.version;
+        let current = self.index.load().as_ref().map(|i| i.table().version);
+        if current.is_some_and(|c| version <= c) {
+            return None;
+        }
+        self.index.store(Some(Arc::new(Index::new(table))));
+        Some(version)
+    }
+}
+
+impl Parts {
+    fn follow_targets(&mut self, now: Duration, bodies: Vec<(String, Option<Bytes>)>) {
+        let sure = self.unsure_until <= now;
+        for (name, body) in bodies {
+            let id = TargetId::new(&name);
+            match body.and_then(|b| decode("targets", &name, &b)) {
+                Some(entry) => self.book.put(now, id, entry),
+                None => self.book.gone(now, &id, sure),
+            }
+        }
+    }
+
+    fn follow_evacuations(&mut self, now: Duration) {
+        let items = self.feeds[Feed::Evacuations as usize].items();
+        let zones: BTreeSet<ZoneId> = items.map(|(name, _)| ZoneId::new(name)).collect();
+        self.book.evacuate(now, zones);
+    }
+
+    fn follow_vms(
+        &mut self,
+        _now: Duration,
+        bodies: Vec<(String, Option<Bytes>)>,
+        _first: bool,
+    ) {
+        for (name, body) in bodies {
+            let vm = VmId::new(&name);
+            match body.and_then(|b| decode::<VmEntry>("vms", &name, &b)) {
+                Some(entry) => self.fleet.put(vm, entry),
+                None => self.fleet.remove(&vm),
+            }
+        }
+        self.retries.share(self.fleet.len());
+    }
+
+    /// Learns this VM's part of every customer's rate, once the others can know that it has one.
+    pub(crate) fn own_part(&mut self, me: &VmId, life: Incarnation, idle_until: Duration) {
+        let listed = self.fleet.entry(me).is_some_and(|e| e.incarnation == life);
+        if listed {
+            self.purse.own(1.0 / self.fleet.len().max(1) as f64, idle_until);
+        }
+    }
+}
+
+fn decode<T: DeserializeOwned>(part: &str, name: &str, body: &[u8]) -> Option<T> {
+    match serde_json::from_slice(body) {
+        Ok(value) => Some(value),
+        Err(e) => {
+            log::warn!("{part}: {name} can't be read: {e}.");
+            None
+        }
+    }
+}
--- /dev/null
+++ b/src/front/metrics.rs
@@ -0,0 +1,115 @@
+//! Counters and latencies, served as text.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+use crate::clock;
+use crate::net::{Respond, bytes_response, text_response};
+
+use super::Front;
+
+/// Bounds of the latency histogram's buckets, in seconds.
+const LATENCY_BUCKETS: [f64; 10] = [0.01, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 2.0, 4.0];
+
+/// How a request ended.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct Outcome {
+    pub(crate) status: u16,
+    pub(crate) reason: String,
+}
+
+/// The metrics of a front.
+pub(crate) struct FrontMetrics {
+    registry: Mutex<Registry>,
+    requests: Family<Outcome, Counter>,
+    latency: Histogram,
+    pub(crate) retries: Counter,
+    pub(crate) probes: Counter,
+    pub(crate) version: Gauge,
+    age: Gauge,
+    targets: Gauge,
+    usable: Gauge,
+    members: Gauge,
+}
+
+impl FrontMetrics {
+    pub(crate) fn new() -> Self {
+        let mut registry = Registry::with_prefix("shallotstall");
+        let metrics = Self {
+            requests: Family::default(),
+            latency: Histogram::new(LATENCY_BUCKETS),
+            retries: Counter::default(),
+            probes: Counter::default(),
+            version: Gauge::default(),
+            age: Gauge::default(),
+            targets: Gauge::default(),
+            usable: Gauge::default(),
+            members: Gauge::default(),
+            registry: Mutex::default(),
+        };
+        registry.register("requests", "Requests by how they ended", metrics.requests.clone());
+        registry.register(
+            "request_seconds",
+            "Time from a request's head to its answer's",
+            metrics.latency.clone(),
+        );
+        registry.register("retries", "Requests sent once more", metrics.retries.clone());
+        registry.register("probes", "Health checks of targets", metrics.probes.clone());
+        registry.register("table_version", "Configuration in force", metrics.version.clone());
+        registry.register("table_age_ms", "Age of the configuration", metrics.age.clone());
+        registry.register("targets", "Targets known", metrics.targets.clone());
+        registry.register("targets_usable", "Targets that take requests", metrics.usable.clone());
+        registry.register("members", "Entry VMs known", metrics.members.clone());
+        Self { registry: Mutex::new(registry), ..metrics }
+    }
+
+    /// Counts the end of a request.
+    pub(crate) fn ended(&self, outcome: Outcome, took: Duration) {
+        self.requests.get_or_create(&outcome).inc();
+        self.latency.observe(took.as_secs_f64());
+    }
+
+    fn text(&self, front: &Front) -> String {
+        let now = clock::now();
+        let age = front.known.table_age(now).map_or(-1, |a| a.as_millis() as i64);
+        self.age.set(age);
+        {
+            let parts = front.known.parts();
+            let (known, usable) = parts.book.counts(now);
+            self.targets.set(known as i64);
+            self.usable.set(usable as i64);
+            self.members.set(parts.fleet.len() as i64);
+        }
+        let mut text = String::new();
+        if encode(&mut text, &self.registry.lock().expect("registry lock")).is_err() {
+            log::warn!("metrics: They can't be written.");
+        }
+        text
+    }
+}
+
+/// Serves the metrics.
+pub(crate) struct Measuring(pub(crate) Arc<Front>);
+
+#[async_trait]
+impl Respond for Measuring {
+    async fn respond(&self, request: Request<Bytes>, _: SocketAddr) -> Response<Bytes> {
+        if request.uri().path() != "/metrics" {
+            return text_response(StatusCode::NOT_FOUND, "metrics are at /metrics");
+        }
+        let text = self.0.metrics.text(&self.0);
+        bytes_response(StatusCode::OK, "text/plain; version=0.0.4", text.into())
+    }
+}
--- /dev/null
+++ b/src/front/news.rs
@@ -0,0 +1,268 @@
+//! Follows the store: one entry VM of a zone reads it, the others ask that one.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Serialize;
+use tokio::time::sleep;
+
+use crate::clock;
+use crate::model::VmId;
+use crate::peer::{Body, PeerError, Sync, Synced};
+use crate::steer::{Feed, VmEntry};
+
+use super::Front;
+
+/// Time between two questions for news.
+const SYNC_PAUSE: Duration = Duration::from_millis(300);
+/// Longest wait for an answer in the zone.
+const SYNC_TIMEOUT: Duration = Duration::from_millis(400);
+/// Longest wait for an answer from another zone.
+const FAR_TIMEOUT: Duration = Duration::from_millis(700);
+/// Age of the configuration from which on a VM reads the store itself.
+const READ_AGE: Duration = Duration::from_millis(1_900);
+/// Age of the configuration from which on VMs of other zones are asked.
+const FAR_AGE: Duration = Duration::from_millis(2_300);
+/// Time between two questions to another zone of the region.
+const NEAR_PAUSE: Duration = Duration::from_millis(900);
+/// Wait of the watch that proves the configuration's age.
+const TABLE_WAIT: Duration = Duration::from_millis(1_100);
+/// Wait of the other watches.
+const WATCH_WAIT: Duration = Duration::from_secs(15);
+/// Pause after a failed read.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+/// Pause between looks at whether this VM has to read the store.
+const IDLE_LOOK: Duration = Duration::from_millis(100);
+/// Pause between two tries to write this VM's entry.
+const ANNOUNCE_PAUSE: Duration = Duration::from_millis(500);
+
+#[derive(Serialize)]
+struct Believed {
+    what: &'static str,
+    version: u64,
+    age_ms: u64,
+    from: String,
+}
+
+/// Starts the tasks that follow the store.
+pub(crate) fn start(front: &Arc<Front>) {
+    tokio::spawn(announce(front.clone()));
+    tokio::spawn(sync(front.clone()));
+    for feed in Feed::ALL {
+        tokio::spawn(read(front.clone(), feed));
+    }
+}
+
+/// Writes this VM's entry, until the store has it.
+async fn announce(front: Arc<Front>) {
+    let entry = VmEntry {
+        place: front.place.clone(),
+        peers: front.peer_addr(front.config.listen.callers.ip()),
+        callers: front.config.listen.callers,
+        incarnation: front.me.incarnation,
+    };
+    while let Err(e) = front.source.announce(&front.me.vm, &entry).await {
+        log::warn!("news: this VM's entry is not written: {e}.");
+        sleep(ANNOUNCE_PAUSE).await;
+    }
+}
+
+/// True if this VM has to read the store itself.
+fn reads(front: &Front) -> bool {
+    let now = clock::now();
+    let parts = front.known.parts();
+    let age = parts.feeds[Feed::Table as usize].age(now);
+    age.is_none_or(|age| age > READ_AGE)
+        || parts.fleet.source(now).is_none_or(|vm| vm == front.me.vm)
+}
+
+/// Reads one feed of the store while nobody nearer does.
+async fn read(front: Arc<Front>, feed: Feed) {
+    let mut failing = false;
+    loop {
+        if !reads(&front) {
+            sleep(IDLE_LOOK).await;
+            continue;
+        }
+        let sent = clock::now();
+        let mark = front.known.parts().feeds[feed as usize].mark();
+        let wait = if feed == Feed::Table { TABLE_WAIT } else { WATCH_WAIT };
+        let read = match mark {
+            0 => front.source.list(feed).await,
+            mark => front.source.changes(feed, mark, wait).await,
+        };
+        let read = match read {
+            Err(e) if e.compacted => {
+                log::info!("news: {feed:?} is read anew: {e}.");
+                front.source.list(feed).await
+            }
+            read => read,
+        };
+        match read {
+            Ok(delta) => {
+                if failing {
+                    front.decisions.always("regained", &format_feed(feed));
+                }
+                failing = false;
+                front.offer(feed, delta, sent, "store");
+            }
+            Err(e) => {
+                if !failing {
+                    front.decisions.always("lost", &format_feed(feed));
+                    log::warn!("news: {feed:?} is not read: {e}.");
+                }
+                failing = true;
+                sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+#[derive(Serialize)]
+struct Dependency {
+    dependency: String,
+}
+
+fn format_feed(feed: Feed) -> Dependency {
+    Dependency { dependency: format!("store {feed:?}") }
+}
+
+/// Asks other entry VMs for news and says that this VM lives.
+async fn sync(front: Arc<Front>) {
+    let mut seed = 0;
+    let mut near_next = Duration::ZERO;
+    loop {
+        let now = clock::now();
+        let (source, age) = {
+            let parts = front.known.parts();
+            (parts.fleet.source(now), parts.feeds[Feed::Table as usize].age(now))
+        };
+        match &source {
+            Some(vm) if *vm != front.me.vm => {
+                ask(&front, vm, SYNC_TIMEOUT).await;
+            }
+            Some(_) if now >= near_next => {
+                near_next = now + NEAR_PAUSE;
+                tokio::spawn(ask_near(front.clone()));
+            }
+            Some(_) => {}
+            None => {
+                ask_seed(&front, seed).await;
+                seed += 1;
+            }
+        }
+        if source.is_some() && age.is_none_or(|age| age > FAR_AGE) {
+            ask_far(&front, seed).await;
+            seed += 1;
+        }
+        sleep(SYNC_PAUSE).await;
+    }
+}
+
+/// Asks the other zones of the region who lives there.
+async fn ask_near(front: Arc<Front>) {
+    let zones = front.known.parts().fleet.other_zones();
+    for zone in zones {
+        let vm = {
+            let parts = front.known.parts();
+            if parts.fleet.is_near(&zone) {
+                parts.fleet.source_of(clock::now(), &zone)
+            } else {
+                None
+            }
+        };
+        if let Some(vm) = vm {
+            ask(&front, &vm, FAR_TIMEOUT).await;
+        }
+    }
+}
+
+/// Asks one VM of another zone; `turn` chooses the zone.
+async fn ask_far(front: &Front, turn: usize) {
+    let vm = {
+        let parts = front.known.parts();
+        let zones = parts.fleet.other_zones();
+        if zones.is_empty() {
+            return;
+        }
+        parts.fleet.source_of(clock::now(), &zones[turn % zones.len()])
+    };
+    if let Some(vm) = vm {
+        ask(front, &vm, FAR_TIMEOUT).await;
+    }
+}
+
+/// Asks a VM that is known from the settings only.
+async fn ask_seed(front: &Front, turn: usize) {
+    let seeds = &front.config.peers.seeds;
+    let own = front.config.listen.callers.ip();
+    let others: Vec<_> = seeds.iter().map(|s| s.ip()).filter(|ip| *ip != own).collect();
+    if others.is_empty() {
+        return;
+    }
+    let addr = front.peer_addr(others[turn % others.len()]);
+    let sent = clock::now();
+    let anyone = VmId::default();
+    let answer = front.sessions.call(&anyone, addr, sync_message(front), FAR_TIMEOUT).await;
+    match answer {
+        Ok(Body::Synced(news)) => front.take_news(news, sent, "seed"),
+        Ok(_) => log::debug!("news: {addr} sent no news."),
+        Err(e) => log::debug!("news: {e}."),
+    }
+}
+
+async fn ask(front: &Front, vm: &VmId, timeout: Duration) {
+    let Some(addr) = front.known.parts().fleet.entry(vm).map(|e| e.peers) else { return };
+    let sent = clock::now();
+    let answer = front.sessions.call(vm, addr, sync_message(front), timeout).await;
+    let answered = |answer: Result<Body, PeerError>| match answer {
+        Ok(Body::Synced(news)) => Ok(news),
+        Ok(_) => Err("it sent no news".to_owned()),
+        Err(e) => Err(e.to_string()),
+    };
+    match answered(answer) {
+        Ok(news) => {
+            front.known.parts().fleet.answered(vm);
+            front.take_news(news, sent, vm.as_str());
+        }
+        Err(e) => {
+            log::debug!("news: {vm} gave none: {e}.");
+            front.known.parts().fleet.unanswered(clock::now(), vm);
+        }
+    }
+}
+
+fn sync_message(front: &Front) -> Body {
+    let marks = front.known.parts().feeds.iter().map(|f| f.mark()).collect();
+    let callers = front.config.listen.callers.to_string();
+    Body::Sync(Sync { marks, callers, serving: front.is_serving() })
+}
+
+impl Front {
+    /// Takes in another VM's news; `sent` is when they were asked for.
+    fn take_news(&self, news: Synced, sent: Duration, from: &str) {
+        let now = clock::now();
+        let heard: Vec<_> = news.live.iter().filter_map(|w| w.to_heard()).collect();
+        self.known.parts().fleet.hear(now, heard);
+        for feed in news.feeds {
+            if let Some((feed, age, delta)) = feed.into_delta() {
+                self.offer(feed, delta, sent.saturating_sub(age), from);
+            }
+        }
+    }
+
+    /// Takes in news of a feed that were true at `fresh`.
+    fn offer(&self, feed: Feed, delta: crate::steer::Delta, fresh: Duration, from: &str) {
+        let now = clock::now();
+        let Some(version) = self.known.offer(now, feed, delta, fresh) else { return };
+        let age_ms = now.saturating_sub(fresh).as_millis() as u64;
+        let believed = Believed { what: "configuration", version, age_ms, from: from.to_owned() };
+        self.decisions.note("believes", &believed);
+        self.metrics.version.set(version as i64);
+    }
+
+    /// The address for sessions of the VM at `ip`.
+    pub(crate) fn peer_addr(&self, ip: std::net::IpAddr) -> std::net::SocketAddr {
+        (ip, self.config.peers.port).into()
+    }
+}
--- /dev/null
+++ b/src/front/sessions.rs
@@ -0,0 +1,168 @@
+//! Sessions with other entry VMs: calls to them, and answers to theirs.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use async_trait::async_trait;
+
+use crate::clock;
+use crate::model::VmId;
+use crate::peer::{
+    Body, Death, Dialer, Draw, Drawn, Empty, FeedNews, Identity, PeerClient, PeerError,
+    PeerHandler, Sync, Synced, WireGrant, WireHeard,
+};
+use crate::steer::{Feed, Grant, Heard, Want};
+
+use super::Front;
+
+/// Time for which a call waits for its session to open.
+const OPEN_WAIT: Duration = Duration::from_millis(250);
+/// Pause between looks at whether a session is open.
+const OPEN_LOOK: Duration = Duration::from_millis(10);
+/// Time after which an unused session is closed.
+const UNUSED_MAX: Duration = Duration::from_secs(15);
+
+/// Clients of other entry VMs, opened as they are needed.
+pub(crate) struct Sessions {
+    dialer: Dialer,
+    clients: Mutex<HashMap<SocketAddr, Client>>,
+}
+
+struct Client {
+    client: Arc<PeerClient>,
+    used: Duration,
+}
+
+impl Sessions {
+    pub(crate) fn new(dialer: Dialer) -> Self {
+        Self { dialer, clients: Mutex::default() }
+    }
+
+    /// Calls the VM at `addr`; an empty name stands for whoever is there. A session that gives no
+    /// answer is opened anew, since something between the ends may have lost track of it.
+    pub(crate) async fn call(
+        &self,
+        vm: &VmId,
+        addr: SocketAddr,
+        body: Body,
+        timeout: Duration,
+    ) -> Result<Body, PeerError> {
+        let client = self.client(vm, addr);
+        let until = clock::now() + OPEN_WAIT;
+        while client.identity().is_none() && clock::now() < until {
+            tokio::time::sleep(OPEN_LOOK).await;
+        }
+        let answer = client.call(body, timeout).await;
+        if answer.as_ref().is_err_and(|e| e.sent) {
+            client.reset();
+        }
+        answer
+    }
+
+    /// Sends a message without an answer over all open sessions.
+    pub(crate) fn broadcast(&self, body: &Body) {
+        for client in self.clients.lock().expect("clients lock").values() {
+            client.client.note(body.clone());
+        }
+    }
+
+    fn client(&self, vm: &VmId, addr: SocketAddr) -> Arc<PeerClient> {
+        let now = clock::now();
+        let mut clients = self.clients.lock().expect("clients lock");
+        clients.retain(|_, c| now.saturating_sub(c.used) < UNUSED_MAX);
+        let entry = clients.entry(addr).or_insert_with(|| Client {
+            client: Arc::new(PeerClient::start(vm.clone(), addr, self.dialer.clone())),
+            used: now,
+        });
+        entry.used = now;
+        entry.client.clone()
+    }
+}
+
+/// Answers other entry VMs.
+pub(crate) struct Answering(pub(crate) Arc<Front>);
+
+#[async_trait]
+impl PeerHandler for Answering {
+    async fn call(&self, from: &Identity, body: Body) -> Body {
+        match body {
+            Body::Sync(sync) => Body::Synced(self.0.answer_sync(from, &sync)),
+            Body::Draw(draw) => Body::Drawn(self.0.answer_draw(from, &draw)),
+            _ => Body::Empty(Empty {}),
+        }
+    }
+
+    fn note(&self, _: &Identity, body: Body) {
+        if let Body::Death(death) = body {
+            self.0.learn_death(&death);
+        }
+    }
+
+    fn met(&self, _: &Identity) {}
+}
+
+impl Front {
+    fn answer_sync(&self, from: &Identity, sync: &Sync) -> Synced {
+        let now = clock::now();
+        let mut parts = self.known.parts();
+        if let Ok(callers) = sync.callers.parse() {
+            let (vm, zone) = (from.vm.clone(), from.place.zone.clone());
+            let heard = Heard { vm, zone, callers, serving: sync.serving, age: Duration::ZERO };
+            parts.fleet.hear(now, [heard]);
+        }
+        let mut live: Vec<WireHeard> =
+            parts.fleet.tell(now).into_iter().filter(|h| h.vm != from.vm).map(Into::into).collect();
+        live.push(self.own_word().into());
+        let feeds = Feed::ALL.into_iter().filter_map(|feed| {
+            let replica = &parts.feeds[feed as usize];
+            let mark = sync.marks.get(feed as usize).copied().unwrap_or_default();
+            let age = replica.age(now)?;
+            Some(FeedNews::new(feed, age, replica.delta(mark)))
+        });
+        Synced { feeds: feeds.collect(), live }
+    }
+
+    /// What this VM says of itself.
+    pub(crate) fn own_word(&self) -> Heard {
+        Heard {
+            vm: self.me.vm.clone(),
+            zone: self.place.zone.clone(),
+            callers: self.config.listen.callers,
+            serving: self.is_serving(),
+            age: Duration::ZERO,
+        }
+    }
+
+    fn answer_draw(&self, from: &Identity, draw: &Draw) -> Drawn {
+        let wants: Vec<Want> = draw.wants.iter().map(|w| w.to_want()).collect();
+        let stamp = (draw.life == self.me.incarnation)
+            .then(|| (draw.part, Duration::from_micros(draw.stamp_us)));
+        let (now, grants) = self.draw_here(&from.vm, stamp, &wants);
+        let grants = grants.iter().map(WireGrant::from).collect();
+        Drawn { stamp_us: now.as_micros() as u64, grants, life: self.me.incarnation }
+    }
+
+    /// Draws from this VM's own pool; `loan` is a part and the pool's stamp that came with it.
+    pub(crate) fn draw_here(
+        &self,
+        vm: &VmId,
+        loan: Option<(f64, Duration)>,
+        wants: &[Want],
+    ) -> (Duration, Vec<Grant>) {
+        let now = clock::now();
+        let Some(index) = self.known.index() else { return (now, Vec::new()) };
+        let mut parts = self.known.parts();
+        if let Some((part, stamp)) = loan.filter(|(part, _)| *part > 0.0 && *part <= 1.0) {
+            parts.pool.lend(now, index.table(), vm, part, stamp);
+        }
+        (now, parts.pool.grant(now, index.table(), vm, wants))
+    }
+
+    /// Learns that a target died while it ran a request.
+    pub(crate) fn learn_death(&self, death: &Death) {
+        let now = std::time::Instant::now();
+        self.known.parts().poison.died(now, &death.fingerprint, &death.event);
+    }
+}
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -15,6 +15,10 @@
 /// An idle connection older than this is not used again: something between the two ends may have
 /// lost track of it.
 const IDLE_MAX: Duration = Duration::from_secs(2);
+/// Silence after which the kernel checks that the peer still knows the connection.
+const KEEPALIVE: Duration = Duration::from_secs(1);
+/// Checks without an answer after which a connection is lost.
+const KEEPALIVE_TRIES: u32 = 2;
 /// Largest answer, in bytes.
 const ANSWER_BYTES_MAX: usize = 8 << 20;
 
@@ -47,6 +51,9 @@
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         connector.set_nodelay(true);
+        connector.set_keepalive(Some(KEEPALIVE));
+        connector.set_keepalive_interval(Some(KEEPALIVE));
+        connector.set_keepalive_retries(Some(KEEPALIVE_TRIES));
         connector.set_local_address(bind);
         let mut builder = Client::builder(TokioExecutor::new());
         builder.pool_timer(TokioTimer::new()).retry_canceled_requests(false);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,5 +5,7 @@
 mod tls;
 
 pub use client::{HttpClient, HttpError};
-pub use serve::{Respond, Server, bytes_response, json_response, text_response, whole_body};
+pub use serve::{
+    Respond, ServeBounds, Server, bytes_response, json_response, text_response, whole_body,
+};
 pub use tls::acceptor;
--- a/src/net/serve.rs
+++ b/src/net/serve.rs
@@ -25,11 +25,30 @@
 
 /// Largest request body, in bytes.
 const BODY_BYTES_MAX: usize = 1 << 20;
+/// Largest head of a request, in bytes.
+const HEAD_BYTES_MAX: usize = 400 << 10;
+/// Least bound on a head that the HTTP library takes, in bytes.
+const HEAD_BYTES_MIN: usize = 8 << 10;
 /// Longest time to send a request's head.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// Pause after a failed accept, so that a shortage of descriptors does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Bounds on connections.
+#[derive(Clone, Copy, Debug)]
+pub struct ServeBounds {
+    /// Longest time until a request's head is there; also the longest time without a request.
+    pub head_timeout: Duration,
+    /// Largest head of a request, in bytes.
+    pub head_bytes: usize,
+}
+
+impl Default for ServeBounds {
+    fn default() -> Self {
+        Self { head_timeout: HEAD_TIMEOUT, head_bytes: HEAD_BYTES_MAX }
+    }
+}
+
 /// Answers whole requests.
 #[async_trait]
 pub trait Respond: Send + Sync + 'static {
@@ -40,6 +59,17 @@
     async fn respond_body(&self, request: Request<Bytes>, from: SocketAddr) -> Response<Body> {
         self.respond(request, from).await.map(whole_body)
     }
+
+    /// Answers a request whose body may still be on its way; reads it whole by default.
+    async fn respond_stream(&self, request: Request<Body>, from: SocketAddr) -> Response<Body> {
+        match whole_request(request).await {
+            Ok(request) => self.respond_body(request, from).await,
+            Err(status) => {
+                let body = Bytes::from(status.to_string());
+                bytes_response(status, "text/plain", body).map(whole_body)
+            }
+        }
+    }
 }
 
 /// A body that is sent whole.
@@ -65,11 +95,24 @@
         listener: TcpListener,
         tls: Option<TlsAcceptor>,
         responder: Arc<dyn Respond>,
+    ) -> std::io::Result<Self> {
+        Self::start_bounded(listener, tls, responder, ServeBounds::default())
+    }
+
+    /// Starts to serve on `listener` within `bounds`.
+    ///
+    /// # Errors
+    /// Fails if the listener has no address.
+    pub fn start_bounded(
+        listener: TcpListener,
+        tls: Option<TlsAcceptor>,
+        responder: Arc<dyn Respond>,
+        bounds: ServeBounds,
     ) -> std::io::Result<Self> {
         let addr = listener.local_addr()?;
         let (stop, stopped) = watch::channel(false);
         let closing = Arc::new(AtomicBool::new(false));
-        let shared = Shared { responder, closing: closing.clone() };
+        let shared = Shared { responder, closing: closing.clone(), bounds };
         let task = tokio::spawn(accept_loop(listener, tls, Arc::new(shared), stopped));
         Ok(Self { addr, closing, stop, task })
     }
@@ -91,6 +134,7 @@
 struct Shared {
     responder: Arc<dyn Respond>,
     closing: Arc<AtomicBool>,
+    bounds: ServeBounds,
 }
 
 async fn accept_loop(
@@ -127,10 +171,14 @@
     let shared = shared.clone();
     let watcher = graceful.watcher();
     let _ = stream.set_nodelay(true);
+    let bounds = shared.bounds;
     tokio::spawn(async move {
         let service = service_fn(move |request| handle(request, from, shared.clone()));
         let mut builder = http1::Builder::new();
-        builder.timer(TokioTimer::new()).header_read_timeout(HEAD_TIMEOUT);
+        builder
+            .timer(TokioTimer::new())
+            .header_read_timeout(bounds.head_timeout)
+            .max_buf_size(bounds.head_bytes.max(HEAD_BYTES_MIN));
         let outcome = match tls {
             None => watcher.watch(builder.serve_connection(TokioIo::new(stream), service)).await,
             Some(tls) => match tls.accept(stream).await {
@@ -191,30 +239,24 @@
     from: SocketAddr,
 ) -> std::pin::Pin<Box<HandlerFuture>> {
     Box::pin(async move {
-        let response = match whole_request(&mut state).await {
-            Ok(request) => responder.respond_body(request, from).await,
-            Err(status) => {
-                let body = Bytes::from(status.to_string());
-                bytes_response(status, "text/plain", body).map(whole_body)
-            }
-        };
+        let mut request = Request::new(Body::take_from(&mut state));
+        *request.method_mut() = http::Method::take_from(&mut state);
+        *request.uri_mut() = http::Uri::take_from(&mut state);
+        *request.headers_mut() = http::HeaderMap::take_from(&mut state);
+        let response = responder.respond_stream(request, from).await;
         Ok((state, response))
     })
 }
 
-async fn whole_request(state: &mut State) -> Result<Request<Bytes>, StatusCode> {
-    let body =
-        Limited::new(Body::take_from(state), BODY_BYTES_MAX).collect().await.map_err(|e| {
-            match e.is::<http_body_util::LengthLimitError>() {
-                true => StatusCode::PAYLOAD_TOO_LARGE,
-                false => StatusCode::BAD_REQUEST,
-            }
-        })?;
-    let mut request = Request::new(body.to_bytes());
-    *request.method_mut() = http::Method::take_from(state);
-    *request.uri_mut() = http::Uri::take_from(state);
-    *request.headers_mut() = http::HeaderMap::take_from(state);
-    Ok(request)
+async fn whole_request(request: Request<Body>) -> Result<Request<Bytes>, StatusCode> {
+    let (head, body) = request.into_parts();
+    let body = Limited::new(body, BODY_BYTES_MAX).collect().await.map_err(|e| {
+        match e.is::<http_body_util::LengthLimitError>() {
+            true => StatusCode::PAYLOAD_TOO_LARGE,
+            false => StatusCode::BAD_REQUEST,
+        }
+    })?;
+    Ok(Request::from_parts(head, body.to_bytes()))
 }
 
 /// A response with a body.
--- a/src/node/egress.rs
+++ b/src/node/egress.rs
@@ -15,7 +15,7 @@
 use crate::peer::{Answer, Forward, Identity, Load, Outcome};
 use crate::route::LinkBudget;
 use crate::spread::View;
-use crate::target::{Book, Ended, Known, Rules, Slot, Step, Work};
+use crate::targets::{Book, Ended, Known, Rules, Slot, Step, Work};
 use crate::zone::Roster;
 
 use super::trace::{SpanEnd, SpanId};
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -14,7 +14,7 @@
 use crate::net::Respond;
 use crate::plan::Plan;
 use crate::route::RetryBudget;
-use crate::target::Poison;
+use crate::targets::Poison;
 
 use super::records::Trail;
 use super::refusal::{Reason, Refusal};
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -38,7 +38,7 @@
 use crate::peer::{Body, Identity, Objects};
 use crate::spread::{Catalog, Offer, View};
 use crate::store::{HttpStore, Store};
-use crate::target::Poison;
+use crate::targets::Poison;
 
 pub use changes::{Changed, ShiftOrder, Shown};
 pub use run::{Daemon, Ports};
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -64,7 +64,7 @@
 }
 
 impl PeerClient {
-    /// Starts a client of `vm` at `addr`.
+    /// Starts a client of `vm` at `addr`. An empty name stands for whoever listens there.
     pub fn start(vm: VmId, addr: SocketAddr, dialer: Dialer) -> Self {
         let shared = Arc::new(Shared::default());
         let (up, link) = watch::channel(Link::Down { refused: 0 });
@@ -210,7 +210,13 @@
         stream.set_nodelay(true)?;
         let mut frames = Framing::new(stream, codec());
         let identity = dial(&mut frames, &self.dialer.me, &self.dialer.secret).await?;
-        anyhow::ensure!(identity.vm == self.vm, "{} answered in place of {}", identity.vm, self.vm);
+        let anyone = self.vm.as_str().is_empty();
+        anyhow::ensure!(
+            anyone || identity.vm == self.vm,
+            "{} answered in place of {}",
+            identity.vm,
+            self.vm
+        );
         Ok((frames, identity))
     }
 
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -3,6 +3,8 @@
 
 use prost::{Enumeration, Message, Oneof};
 
+use super::steering::{Draw, Drawn, Sync, Synced};
+
 /// One frame.
 #[derive(Clone, PartialEq, Message)]
 pub struct Envelope {
@@ -13,7 +15,7 @@
     #[prost(bool, tag = "2")]
     pub reply: bool,
     /// The message.
-    #[prost(oneof = "Body", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
+    #[prost(oneof = "Body", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17")]
     pub body: Option<Body>,
 }
 
@@ -53,6 +55,18 @@
     /// The record of a request.
     #[prost(message, tag = "13")]
     Explained(Explained),
+    /// A front asks for news.
+    #[prost(message, tag = "14")]
+    Sync(Sync),
+    /// News for a front.
+    #[prost(message, tag = "15")]
+    Synced(Synced),
+    /// A front lends rate and draws tokens.
+    #[prost(message, tag = "16")]
+    Draw(Draw),
+    /// Tokens for a front.
+    #[prost(message, tag = "17")]
+    Drawn(Drawn),
 }
 
 /// Nothing.
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -5,6 +5,7 @@
 mod handshake;
 mod message;
 mod server;
+mod steering;
 
 pub use client::{Dialer, PeerClient};
 pub use error::PeerError;
@@ -14,6 +15,9 @@
     Heartbeat, Home, Load, Objects, Outcome, VersionList, WireObject, WireVersion, ask, outcome,
 };
 pub use server::{PeerHandler, PeerServer};
+pub use steering::{
+    Draw, Drawn, FeedNews, Sync, Synced, WireGrant, WireHeard, WireItem, WireWant,
+};
 
 /// Largest frame, in bytes: a request or answer body with its headers.
 pub(crate) const FRAME_BYTES_MAX: usize = 12 << 20;
--- /dev/null
+++ b/src/steer/affinity.rs
@@ -0,0 +1,22 @@
+//! Rendezvous hashing of objects over targets: every entry VM comes to the same order without any
+//! agreement, and a target that joins or leaves moves only its own objects.
+
+use sha2::{Digest, Sha256};
+
+/// A hash of a name, the same on every machine.
+pub type Fingerprint = u64;
+
+/// The fingerprint of `name`.
+pub fn fingerprint(name: &[u8]) -> Fingerprint {
+    let digest = Sha256::digest(name);
+    u64::from_le_bytes(digest[..8].try_into().expect("a digest has 32 bytes"))
+}
+
+/// The weight of a member for an object; the highest is the object's first choice.
+pub fn rank(object: Fingerprint, member: Fingerprint) -> u64 {
+    // The finalizer of SplitMix64.
+    let mut z = object ^ member.rotate_left(32);
+    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ (z >> 31)
+}
--- /dev/null
+++ b/src/steer/fleet.rs
@@ -0,0 +1,226 @@
+//! The other entry VMs: whom to ask for news, who pools the rates, whom to name to callers.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use macro_rules_attribute::apply;
+
+use super::affinity::{Fingerprint, fingerprint, rank};
+use crate::common::record;
+use crate::model::{Incarnation, Place, RegionId, VmId, ZoneId};
+
+/// Time without a word after which a VM is not named to callers any more.
+const SILENT: Duration = Duration::from_millis(2_000);
+/// Time for which a VM that did not answer is passed over.
+const PASSED_OVER: Duration = Duration::from_millis(1_500);
+/// Key of the order in which VMs pool the rates.
+const POOL_ORDER: &[u8] = b"pool";
+/// Key of the order in which VMs read the store for their zone.
+const READER_ORDER: &[u8] = b"reader";
+
+/// An entry VM's entry in the store.
+#[apply(record!)]
+pub struct VmEntry {
+    /// Where it stands.
+    pub place: Place,
+    /// Its address for sessions with other entry VMs.
+    pub peers: SocketAddr,
+    /// Its address for callers.
+    pub callers: SocketAddr,
+    /// Its life.
+    pub incarnation: Incarnation,
+}
+
+/// What one entry VM tells of another.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Heard {
+    /// The VM.
+    pub vm: VmId,
+    /// Its zone.
+    pub zone: ZoneId,
+    /// Its address for callers.
+    pub callers: SocketAddr,
+    /// True if it takes callers.
+    pub serving: bool,
+    /// How long ago it said so.
+    pub age: Duration,
+}
+
+/// A VM that was heard of.
+#[derive(Clone, Debug)]
+pub struct LiveVm {
+    zone: ZoneId,
+    callers: SocketAddr,
+    serving: bool,
+    at: Duration,
+}
+
+/// The entry VMs as one of them sees them.
+#[derive(Clone, Debug)]
+pub struct Fleet {
+    me: VmId,
+    place: Place,
+    regions: BTreeMap<ZoneId, RegionId>,
+    vms: BTreeMap<VmId, VmEntry>,
+    live: BTreeMap<VmId, LiveVm>,
+    /// VMs that did not answer, until when they are passed over.
+    silent: BTreeMap<VmId, Duration>,
+}
+
+impl Fleet {
+    /// A fleet of which only this VM is known.
+    pub fn new(me: VmId, place: Place, regions: BTreeMap<ZoneId, RegionId>) -> Self {
+        let (vms, live, silent) = Default::default();
+        Self { me, place, regions, vms, live, silent }
+    }
+
+    /// Takes in the entry of a VM.
+    pub fn put(&mut self, vm: VmId, entry: VmEntry) {
+        self.vms.insert(vm, entry);
+    }
+
+    /// Learns that a VM has no entry any more.
+    pub fn remove(&mut self, vm: &VmId) {
+        self.vms.remove(vm);
+    }
+
+    /// VMs that have an entry.
+    pub fn len(&self) -> usize {
+        self.vms.len()
+    }
+
+    /// True if no VM has an entry.
+    pub fn is_empty(&self) -> bool {
+        self.vms.is_empty()
+    }
+
+    /// The entry of a VM.
+    pub fn entry(&self, vm: &VmId) -> Option<&VmEntry> {
+        self.vms.get(vm)
+    }
+
+    /// Hears of VMs.
+    pub fn hear(&mut self, now: Duration, heard: impl IntoIterator<Item = Heard>) {
+        for word in heard.into_iter().filter(|w| w.vm != self.me) {
+            let at = now.saturating_sub(word.age);
+            let newer = self.live.get(&word.vm).is_none_or(|l| l.at < at);
+            if newer {
+                let Heard { vm, zone, callers, serving, .. } = word;
+                self.live.insert(vm, LiveVm { zone, callers, serving, at });
+            }
+        }
+        self.live.retain(|_, l| now.saturating_sub(l.at) < SILENT);
+    }
+
+    /// What this VM tells of others.
+    pub fn tell(&self, now: Duration) -> Vec<Heard> {
+        let heard = |(vm, l): (&VmId, &LiveVm)| Heard {
+            vm: vm.clone(),
+            zone: l.zone.clone(),
+            callers: l.callers,
+            serving: l.serving,
+            age: now.saturating_sub(l.at),
+        };
+        self.live.iter().filter(|(_, l)| now.saturating_sub(l.at) < SILENT).map(heard).collect()
+    }
+
+    /// Learns that a VM has not answered.
+    pub fn unanswered(&mut self, now: Duration, vm: &VmId) {
+        self.silent.insert(vm.clone(), now + PASSED_OVER);
+    }
+
+    /// Learns that a VM has answered.
+    pub fn answered(&mut self, vm: &VmId) {
+        self.silent.remove(vm);
+    }
+
+    /// Whom to ask for news in this zone: the first in the zone's order that answers, or nobody if
+    /// that is this VM.
+    pub fn source(&self, now: Duration) -> Option<VmId> {
+        let members = self.vms.iter().filter(|(_, e)| e.place.zone == self.place.zone);
+        self.first(now, READER_ORDER, members.map(|(vm, _)| vm))
+    }
+
+    /// Whom to ask for news in another zone.
+    pub fn source_of(&self, now: Duration, zone: &ZoneId) -> Option<VmId> {
+        let members = self.vms.iter().filter(|(_, e)| e.place.zone == *zone);
+        self.first(now, READER_ORDER, members.map(|(vm, _)| vm))
+    }
+
+    /// The VM that pools the rates.
+    pub fn pool(&self, now: Duration) -> Option<VmId> {
+        self.first(now, POOL_ORDER, self.vms.keys())
+    }
+
+    fn first<'a>(
+        &self,
+        now: Duration,
+        order: &[u8],
+        members: impl Iterator<Item = &'a VmId>,
+    ) -> Option<VmId> {
+        let order = fingerprint(order);
+        members
+            .filter(|vm| self.silent.get(*vm).is_none_or(|until| *until <= now))
+            .max_by_key(|vm| rank(order, name_hash(vm)))
+            .cloned()
+    }
+
+    /// Other zones, those of this region first.
+    pub fn other_zones(&self) -> Vec<ZoneId> {
+        let mut zones: Vec<(&ZoneId, &RegionId)> =
+            self.regions.iter().filter(|(z, _)| **z != self.place.zone).collect();
+        zones.sort_by_key(|(z, r)| (**r != self.place.region, (*z).clone()));
+        zones.into_iter().map(|(z, _)| z.clone()).collect()
+    }
+
+    /// True if `zone` is in this VM's region.
+    pub fn is_near(&self, zone: &ZoneId) -> bool {
+        self.regions.get(zone) == Some(&self.place.region)
+    }
+
+    /// True if this VM paces the cold targets of its zone.
+    pub fn paces_cold(&self, now: Duration) -> bool {
+        let serving = self
+            .live
+            .iter()
+            .filter(|(_, l)| l.zone == self.place.zone && now.saturating_sub(l.at) < SILENT);
+        let order = fingerprint(self.place.zone.as_str().as_bytes());
+        let mine = rank(order, name_hash(&self.me));
+        serving.map(|(vm, _)| rank(order, name_hash(vm))).all(|r| r < mine)
+    }
+
+    /// The addresses to name to a caller of `zone`, at most `most`: of its own zone if two or more
+    /// VMs there take callers, else of its region, else of all.
+    pub fn named(
+        &self,
+        now: Duration,
+        zone: &ZoneId,
+        own: Option<SocketAddr>,
+        most: usize,
+    ) -> Vec<SocketAddr> {
+        let region = self.regions.get(zone);
+        let live = self.live.values().filter(|l| l.serving && now.saturating_sub(l.at) < SILENT);
+        let mut all: Vec<(&ZoneId, SocketAddr)> = live.map(|l| (&l.zone, l.callers)).collect();
+        all.extend(own.map(|addr| (&self.place.zone, addr)));
+        let tiers: [&dyn Fn(&ZoneId) -> bool; 3] = [
+            &|z| z == zone,
+            &|z| region.is_some() && self.regions.get(z) == region,
+            &|_| true,
+        ];
+        let mut best = Vec::new();
+        for tier in tiers {
+            best = all.iter().filter(|(z, _)| tier(z)).map(|(_, addr)| *addr).collect::<Vec<_>>();
+            if best.len() > 1 {
+                break;
+            }
+        }
+        best.sort();
+        best.truncate(most);
+        best
+    }
+}
+
+fn name_hash(vm: &VmId) -> Fingerprint {
+    fingerprint(vm.as_str().as_bytes())
+}
--- /dev/null
+++ b/src/steer/mod.rs
@@ -0,0 +1,28 @@
+//! Steering of whole requests by host and path: the deciding parts of a front.
+//!
+//! [`Table`] says which requests are allowed and where they may run, [`Replica`] holds what the
+//! store last said and hands changes on, [`TargetBook`] chooses targets by [`rank`]ing them for an
+//! object, [`Purse`] and [`Pool`] share each customer's rate over the fleet, [`Retries`] bounds
+//! what is sent twice, and [`Fleet`] says whom to ask and whom to name to callers.
+//!
+//! All times are given as time since the machine's start ([`crate::clock::now`]).
+
+mod affinity;
+mod fleet;
+mod pool;
+mod purse;
+mod replica;
+mod retries;
+mod table;
+mod targets;
+
+pub use affinity::{Fingerprint, fingerprint, rank};
+pub use fleet::{Fleet, Heard, LiveVm, VmEntry};
+pub use pool::{Grant, Pool, Want};
+pub use purse::{Purse, Spend, Stamp};
+pub use replica::{Delta, Feed, Item, Replica};
+pub use retries::{Retries, RetryBounds};
+pub use table::{
+    Access, Bounds, Customer, Index, KeyDigest, Match, Part, Route, Service, Table, key_digest,
+};
+pub use targets::{Choice, Pick, Sight, TargetBook, TargetEntry, TargetState};
--- /dev/null
+++ b/src/steer/purse.rs
@@ -0,0 +1,169 @@
+//! One entry VM's tokens of each customer: from its own part, or from the pool that it lends to.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::model::{CustomerId, Incarnation, VmId};
+
+use super::pool::{Grant, LOAN, Want};
+use super::table::{Customer, Table};
+
+/// Added to a loan before the lender uses its part again, for clocks that run at other speeds.
+const LOAN_GUARD: Duration = Duration::from_millis(50);
+/// Time that tokens asked for ahead should last.
+const AHEAD: Duration = Duration::from_millis(1_300);
+/// Time over which demand is smoothed.
+const SMOOTH: Duration = Duration::from_millis(1_000);
+/// Tokens kept at hand for a customer that has sent nothing lately, if its burst is large enough.
+const SPARE: f64 = 1.0;
+
+/// What became of asking for a token.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Spend {
+    /// The request may go on.
+    Taken,
+    /// There is none at hand; more may be had from the pool.
+    Empty,
+}
+
+/// The tokens of one entry VM.
+#[derive(Clone, Debug)]
+pub struct Purse {
+    /// This VM's part of every sum.
+    part: f64,
+    /// The part is not used before this time: an earlier life of this VM may have lent it, or
+    /// others may not know yet that it has one.
+    idle_until: Duration,
+    loan: Option<Loan>,
+    /// The pool's life and time that it last sent, to be sent back with the next loan.
+    stamp: Option<(VmId, Stamp)>,
+    accounts: BTreeMap<CustomerId, Account>,
+}
+
+/// A life of a pool, and a time on its own clock.
+pub type Stamp = (Incarnation, Duration);
+
+#[derive(Clone, Debug)]
+struct Loan {
+    pool: VmId,
+    /// From here on the pool surely uses it no more.
+    over: Duration,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Account {
+    tokens: f64,
+    /// Requests a second, smoothed.
+    demand: f64,
+    at: Duration,
+    /// Requests that found no token since the last ask.
+    missed: f64,
+}
+
+impl Purse {
+    /// The purse of a VM that starts at `now` and owns nothing before `idle_until`.
+    pub fn new(idle_until: Duration) -> Self {
+        Self { part: 0.0, idle_until, loan: None, stamp: None, accounts: BTreeMap::new() }
+    }
+
+    /// The least time after a start before a part may be used.
+    pub fn start_pause() -> Duration {
+        LOAN + LOAN_GUARD
+    }
+
+    /// Learns this VM's part of every sum.
+    pub fn own(&mut self, part: f64, idle_until: Duration) {
+        self.part = part;
+        self.idle_until = self.idle_until.max(idle_until);
+    }
+
+    /// Takes a token of `customer`.
+    pub fn spend(&mut self, now: Duration, customer: &Customer, first: bool) -> Spend {
+        if customer.rate <= 0.0 {
+            return Spend::Taken;
+        }
+        let floor = self.floor(now);
+        let account = self.accounts.entry(customer.id.clone()).or_default();
+        account.refill(now, customer, floor);
+        if first {
+            account.demand += 1.0 / SMOOTH.as_secs_f64();
+        }
+        if account.tokens >= 1.0 {
+            account.tokens -= 1.0;
+            return Spend::Taken;
+        }
+        if first {
+            account.missed += 1.0;
+        }
+        Spend::Empty
+    }
+
+    /// What to ask of the pool.
+    pub fn wants(&mut self, now: Duration, table: &Table, members: usize) -> Vec<Want> {
+        let floor = self.floor(now);
+        let mut out = Vec::new();
+        for customer in table.customers.iter().filter(|c| c.rate > 0.0) {
+            let account = self.accounts.entry(customer.id.clone()).or_default();
+            account.refill(now, customer, floor);
+            let spare = if customer.burst >= 3.0 * members as f64 { SPARE } else { 0.0 };
+            let goal = account.demand * AHEAD.as_secs_f64() + account.missed + spare;
+            account.missed = 0.0;
+            let tokens = (goal.min(customer.burst) - account.tokens).max(0.0);
+            if tokens >= 0.5 || account.tokens >= 0.5 {
+                let (customer, held) = (customer.id.clone(), account.tokens);
+                out.push(Want { customer, tokens, held });
+            }
+        }
+        self.accounts.retain(|id, _| table.customers.iter().any(|c| &c.id == id));
+        out
+    }
+
+    /// What may be lent to `pool` now: the part, and the pool's own stamp. The part is lent from
+    /// this moment on.
+    pub fn lend(&mut self, now: Duration, pool: &VmId) -> Option<(f64, Stamp)> {
+        if self.part <= 0.0 || now < self.idle_until {
+            return None;
+        }
+        if self.loan.as_ref().is_some_and(|l| l.pool != *pool && l.over > now) {
+            return None;
+        }
+        let (_, stamp) = self.stamp.as_ref().filter(|(vm, _)| vm == pool)?;
+        self.loan.as_mut().filter(|l| l.pool == *pool)?;
+        Some((self.part, *stamp))
+    }
+
+    /// Takes in a pool's answer: its stamp, and tokens.
+    pub fn take(&mut self, now: Duration, pool: &VmId, stamp: Stamp, grants: &[Grant]) {
+        // A loan under this stamp ends at the pool before `over`.
+        let over = now + LOAN + LOAN_GUARD;
+        let other = self.loan.as_ref().is_some_and(|l| l.pool != *pool && l.over > now);
+        if !other {
+            self.loan = Some(Loan { pool: pool.clone(), over });
+            self.stamp = Some((pool.clone(), stamp));
+        }
+        for grant in grants {
+            self.accounts.entry(grant.customer.clone()).or_default().tokens += grant.tokens;
+        }
+    }
+
+    /// The part that this VM itself may use now.
+    fn floor(&self, now: Duration) -> f64 {
+        let lent = self.loan.as_ref().is_some_and(|l| l.over > now);
+        if lent || now < self.idle_until { 0.0 } else { self.part }
+    }
+}
+
+impl Account {
+    fn refill(&mut self, now: Duration, customer: &Customer, floor: f64) {
+        let passed = now.saturating_sub(self.at);
+        self.demand *= (-passed.as_secs_f64() / SMOOTH.as_secs_f64()).exp();
+        if floor > 0.0 {
+            // Less than a whole token would serve nobody.
+            let cap = (customer.burst * floor).max(1.0).max(self.tokens);
+            let gain = customer.rate * floor * passed.min(LOAN).as_secs_f64();
+            self.tokens = (self.tokens + gain).min(cap);
+        }
+        self.tokens = self.tokens.min(customer.burst);
+        self.at = now;
+    }
+}
--- /dev/null
+++ b/src/steer/targets.rs
@@ -0,0 +1,321 @@
+//! The targets as one entry VM sees them, and the choice among them.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use macro_rules_attribute::apply;
+
+use super::affinity::{Fingerprint, fingerprint, rank};
+use crate::common::record;
+use crate::model::{RegionId, ServiceId, TargetId, ZoneId};
+
+/// Added to the time for which a target says it is cold.
+const COLD_MARGIN: Duration = Duration::from_millis(400);
+/// Pause before a target that failed is probed.
+const PROBE_PAUSE: Duration = Duration::from_millis(250);
+/// Longest pause between two probes of a target.
+const PROBE_PAUSE_MAX: Duration = Duration::from_secs(2);
+/// Time for which a target that the store has lost is kept after the store's return.
+const LAPSE: Duration = Duration::from_millis(2_300);
+/// Part of a cold target's rate that is used.
+const COLD_USED: f64 = 0.8;
+
+/// Whether a target takes work.
+#[apply(record!)]
+#[derive(Copy, Eq)]
+#[serde(rename_all = "lowercase")]
+pub enum TargetState {
+    /// It takes work.
+    Ready,
+    /// It finishes what it has.
+    Draining,
+}
+
+/// A target as it says of itself.
+#[apply(record!)]
+pub struct TargetEntry {
+    /// Its service.
+    pub service: ServiceId,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Its zone.
+    pub zone: ZoneId,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes work.
+    pub state: TargetState,
+    /// How much longer it is cold, in milliseconds, when it said so.
+    pub cold_ms: u64,
+    /// When it started, in milliseconds since 1970.
+    pub born_ms: u64,
+}
+
+/// How far a target is trusted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sight {
+    /// It takes requests.
+    Trusted,
+    /// It has failed, or may have started again: it takes requests after a good probe.
+    Unproven {
+        /// When to probe.
+        due: Duration,
+        /// Probes that failed in a row.
+        failures: u32,
+    },
+    /// A probe is on its way.
+    Probing {
+        /// Probes that failed in a row before.
+        failures: u32,
+    },
+    /// Another process has its address.
+    Replaced,
+}
+
+#[derive(Clone, Debug)]
+struct Known {
+    entry: TargetEntry,
+    hash: Fingerprint,
+    region: RegionId,
+    sight: Sight,
+    cold_until: Duration,
+    /// When the next request may go to it while it is cold.
+    cold_next: Duration,
+    /// Requests of this entry VM that run there.
+    running: u32,
+    /// Set when the store has lost the entry at a time when it can't be believed.
+    lapsed: Option<Duration>,
+}
+
+/// What a request needs of a target.
+#[derive(Clone, Copy, Debug)]
+pub struct Choice<'a> {
+    /// The service.
+    pub service: &'a ServiceId,
+    /// The object; requests for the same object go to the same target.
+    pub object: Fingerprint,
+    /// Regions in which it may run; none means all.
+    pub homes: Option<&'a [RegionId]>,
+    /// Targets that it has been sent to before.
+    pub avoid: &'a [TargetId],
+    /// Requests a second that a cold target of the service bears.
+    pub cold_rate: f64,
+}
+
+/// A chosen target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Pick {
+    /// The target.
+    pub id: TargetId,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Its region.
+    pub region: RegionId,
+}
+
+/// All targets known.
+#[derive(Clone, Debug, Default)]
+pub struct TargetBook {
+    targets: BTreeMap<TargetId, Known>,
+    /// The region of each zone.
+    regions: HashMap<ZoneId, RegionId>,
+    evacuated: BTreeSet<ZoneId>,
+    /// Zones whose cold targets this entry VM may send to.
+    cold_zones: BTreeSet<ZoneId>,
+}
+
+impl TargetBook {
+    /// An empty book for a deployment with these zones.
+    pub fn new(regions: HashMap<ZoneId, RegionId>) -> Self {
+        Self { regions, ..Self::default() }
+    }
+
+    /// Takes in a target's entry.
+    pub fn put(&mut self, now: Duration, id: TargetId, entry: TargetEntry) {
+        let cold_until = match entry.cold_ms {
+            0 => Duration::ZERO,
+            ms => now + Duration::from_millis(ms) + COLD_MARGIN,
+        };
+        let Some(region) = self.regions.get(&entry.zone).cloned() else {
+            log::warn!("targets: {id} stands in {}, which is no zone of ours.", entry.zone);
+            self.targets.remove(&id);
+            return;
+        };
+        match self.targets.get_mut(&id) {
+            Some(known) => {
+                let reborn = known.entry.born_ms != entry.born_ms || known.entry.addr != entry.addr;
+                if reborn {
+                    known.sight = Sight::Trusted;
+                }
+                known.cold_until = cold_until.max(if reborn { cold_until } else { known.cold_until });
+                known.lapsed = None;
+                known.entry = entry;
+            }
+            None => {
+                let hash = fingerprint(id.as_str().as_bytes());
+                let known = Known {
+                    entry,
+                    hash,
+                    region,
+                    sight: Sight::Trusted,
+                    cold_until,
+                    cold_next: Duration::ZERO,
+                    running: 0,
+                    lapsed: None,
+                };
+                self.targets.insert(id, known);
+            }
+        }
+    }
+
+    /// Learns that the store has no entry of a target any more. `sure` is false while the store
+    /// may have lost entries of targets that run.
+    pub fn gone(&mut self, now: Duration, id: &TargetId, sure: bool) {
+        if sure {
+            self.targets.remove(id);
+        } else if let Some(known) = self.targets.get_mut(id) {
+            log::info!("targets: The store has lost {id}; it is kept for a while.");
+            known.lapsed = Some(now + LAPSE);
+        }
+    }
+
+    /// Removes the targets that the store has not got back.
+    pub fn expire(&mut self, now: Duration) {
+        self.targets.retain(|_, k| k.lapsed.is_none_or(|until| now < until));
+    }
+
+    /// Learns which zones are to get no work. The targets of a zone that comes back may be cold.
+    pub fn evacuate(&mut self, now: Duration, zones: BTreeSet<ZoneId>) {
+        let back: Vec<ZoneId> = self.evacuated.difference(&zones).cloned().collect();
+        for known in self.targets.values_mut().filter(|k| back.contains(&k.entry.zone)) {
+            known.sight = Sight::Unproven { due: now, failures: 0 };
+        }
+        self.evacuated = zones;
+    }
+
+    /// Learns for which zones this entry VM sends to cold targets.
+    pub fn own_cold(&mut self, zones: BTreeSet<ZoneId>) {
+        self.cold_zones = zones;
+    }
+
+    /// Chooses a target: the first in the object's order that is usable.
+    pub fn pick(&mut self, now: Duration, choice: &Choice<'_>) -> Option<Pick> {
+        let best = self
+            .targets
+            .iter()
+            .filter(|(id, k)| self.is_open(k, choice) && !choice.avoid.contains(id))
+            .filter(|(_, k)| k.sight == Sight::Trusted && k.cold_until <= now)
+            .max_by_key(|(_, k)| rank(choice.object, k.hash))
+            .map(|(id, _)| id.clone());
+        let id = best.or_else(|| self.pick_cold(now, choice))?;
+        let known = self.targets.get(&id)?;
+        Some(Pick { id, addr: known.entry.addr, region: known.region.clone() })
+    }
+
+    /// Chooses a cold target if nothing else is there; one entry VM paces them.
+    fn pick_cold(&mut self, now: Duration, choice: &Choice<'_>) -> Option<TargetId> {
+        if choice.cold_rate <= 0.0 {
+            return None;
+        }
+        let id = self
+            .targets
+            .iter()
+            .filter(|(id, k)| self.is_open(k, choice) && !choice.avoid.contains(id))
+            .filter(|(_, k)| k.sight == Sight::Trusted && self.cold_zones.contains(&k.entry.zone))
+            .filter(|(_, k)| k.cold_next <= now)
+            .max_by_key(|(_, k)| rank(choice.object, k.hash))
+            .map(|(id, _)| id.clone())?;
+        let known = self.targets.get_mut(&id)?;
+        known.cold_next = now + Duration::from_secs_f64(1.0 / (choice.cold_rate * COLD_USED));
+        Some(id)
+    }
+
+    fn is_open(&self, known: &Known, choice: &Choice<'_>) -> bool {
+        known.entry.service == *choice.service
+            && known.entry.state == TargetState::Ready
+            && !self.evacuated.contains(&known.entry.zone)
+            && choice.homes.is_none_or(|homes| homes.contains(&known.region))
+    }
+
+    /// Counts a request sent to a target.
+    pub fn sent(&mut self, id: &TargetId) {
+        if let Some(known) = self.targets.get_mut(id) {
+            known.running += 1;
+        }
+    }
+
+    /// Counts a request that has ended at a target.
+    pub fn ended(&mut self, id: &TargetId) {
+        if let Some(known) = self.targets.get_mut(id) {
+            known.running = known.running.saturating_sub(1);
+        }
+    }
+
+    /// Learns that a target can't be reached or broke off.
+    pub fn failed(&mut self, now: Duration, id: &TargetId) {
+        if let Some(known) = self.targets.get_mut(id) {
+            if known.sight == Sight::Trusted {
+                known.sight = Sight::Unproven { due: now + PROBE_PAUSE, failures: 0 };
+            }
+        }
+    }
+
+    /// Learns that another process has a target's address.
+    pub fn replaced(&mut self, id: &TargetId) {
+        if let Some(known) = self.targets.get_mut(id) {
+            known.sight = Sight::Replaced;
+        }
+    }
+
+    /// The targets to probe now; each counts as being probed from here on.
+    pub fn due_probes(&mut self, now: Duration) -> Vec<(TargetId, SocketAddr, ServiceId)> {
+        let mut out = Vec::new();
+        for (id, known) in &mut self.targets {
+            let open = known.entry.state == TargetState::Ready
+                && !self.evacuated.contains(&known.entry.zone);
+            match known.sight {
+                Sight::Unproven { due, failures } if due <= now && open => {
+                    known.sight = Sight::Probing { failures };
+                    out.push((id.clone(), known.entry.addr, known.entry.service.clone()));
+                }
+                _ => {}
+            }
+        }
+        out
+    }
+
+    /// Learns what a probe found: how long the target is still cold, or nothing if it failed.
+    pub fn probed(&mut self, now: Duration, id: &TargetId, found: Option<Duration>) {
+        let Some(known) = self.targets.get_mut(id) else { return };
+        let Sight::Probing { failures } = known.sight else { return };
+        match found {
+            Some(cold) => {
+                known.sight = Sight::Trusted;
+                if !cold.is_zero() {
+                    known.cold_until = now + cold + COLD_MARGIN;
+                }
+            }
+            None => {
+                let pause = PROBE_PAUSE * 2u32.saturating_pow(failures + 1);
+                let due = now + pause.min(PROBE_PAUSE_MAX);
+                known.sight = Sight::Unproven { due, failures: failures + 1 };
+            }
+        }
+    }
+
+    /// The target's entry.
+    pub fn entry(&self, id: &TargetId) -> Option<&TargetEntry> {
+        self.targets.get(id).map(|k| &k.entry)
+    }
+
+    /// How far a target is trusted.
+    pub fn sight(&self, id: &TargetId) -> Option<Sight> {
+        self.targets.get(id).map(|k| k.sight)
+    }
+
+    /// Targets known, and those of them that would take a request now.
+    pub fn counts(&self, now: Duration) -> (usize, usize) {
+        let usable = |k: &&Known| k.sight == Sight::Trusted && k.cold_until <= now;
+        (self.targets.len(), self.targets.values().filter(usable).count())
+    }
+}
--- a/tests/targets.rs
+++ b/tests/targets.rs
@@ -8,7 +8,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use shallotstall::model::{CustomerId, TargetId};
-use shallotstall::target::{Book, Ended, Known, Poison, Queue, Rules, Shed, Step, Work};
+use shallotstall::targets::{Book, Ended, Known, Poison, Queue, Rules, Shed, Step, Work};
 
 const SLOTS: u32 = 3;
 const RULES: Rules = Rules { headroom: 0.25, queue: 8 };
