--- a/src/front/attempt.rs
+++ b/src/front/attempt.rs
@@ -13,6 +13,8 @@
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Uri, Version};
 use http_body_util::{BodyExt, BodyStream, StreamBody};
 use hyper::body::{Frame, Incoming, SizeHint};
+use serde::Serialize;
+use tokio::net::TcpStream;
 
 use crate::clock;
 use crate::model::TargetId;
@@ -28,6 +30,8 @@
 const HELD_ANSWER: usize = 128 << 10;
 /// Least time left for a request to be sent to a target.
 const LEFT_MIN: Duration = Duration::from_millis(30);
+/// Longest wait for a connection to a target that broke off an answer.
+const EXAMINE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Most targets that may fail to be reached before a request is given up.
 const UNREACHED_MAX: u32 = 4;
 
@@ -102,7 +106,7 @@
 
 /// Decides what follows an attempt.
 fn judge(
-    front: &Front,
+    front: &Arc<Front>,
     admitted: &Admitted,
     pick: &Pick,
     ended: Ended,
@@ -134,7 +138,8 @@
         Ended::Lost(cause) => {
             history.arrivals += 1;
             history.maybe_run = true;
-            front.suspect(admitted, pick);
+            let (poison, id) = (admitted.poison.clone(), admitted.id.clone());
+            tokio::spawn(examine(front.clone(), pick.clone(), poison, id));
             history.cause = cause;
             if !idempotent {
                 return Next::Refuse("answer-lost");
@@ -181,6 +186,7 @@
     let choice = Choice {
         service: &admitted.service,
         object: admitted.object,
+        region: &front.place.region,
         homes: admitted.homes.as_deref(),
         avoid: &history.avoid,
         cold_rate: admitted.index.service(&admitted.service).map_or(0.0, |s| s.cold_rate),
@@ -213,7 +219,10 @@
     let _running = Running::new(front, pick);
     let sent = front.outbound.send(pick.addr, request, true).await;
     match sent {
-        Ok((response, lease)) => receive(front, admitted, response, lease).await,
+        Ok((response, lease)) => {
+            note_load(front, pick, response.headers());
+            receive(front, admitted, response, lease).await
+        }
         Err(SendFailure { sent: false, step, peer, cause }) => {
             Ended::Unreached(format!("{step} at {peer}: {cause}"))
         }
@@ -221,6 +230,17 @@
     }
 }
 
+/// Takes in what a target says of its load: running and waiting requests, and slots.
+fn note_load(front: &Front, pick: &Pick, headers: &HeaderMap) {
+    let value = headers.get(&front.headers.load).and_then(|v| v.to_str().ok());
+    let Some(value) = value else { return };
+    let mut figures = value.split(',').map(|f| f.trim().parse::<u32>().ok());
+    if let (Some(Some(running)), Some(Some(waiting))) = (figures.next(), figures.next()) {
+        let requests = running.saturating_add(waiting);
+        front.known.parts().book.reported(clock::now(), &pick.id, requests);
+    }
+}
+
 /// Counts a request at its target.
 struct Running<'a> {
     front: &'a Front,
@@ -303,8 +323,8 @@
 ) -> Ended {
     let names = &front.headers;
     let (mut head, mut body) = response.into_parts();
-    let not_run = head.headers.contains_key(&names.not_run)
-        || head.status == StatusCode::MISDIRECTED_REQUEST;
+    let not_run =
+        head.headers.contains_key(&names.not_run) || head.status == StatusCode::MISDIRECTED_REQUEST;
     let echoed = head.headers.get(&names.attempt).and_then(|v| v.to_str().ok());
     if echoed.is_some_and(|id| id != admitted.id) {
         return Ended::Lost("the answer belongs to another request".to_owned());
@@ -387,12 +407,24 @@
     let _ = write!(trail.targets, "{} in {}: {what}; ", pick.id, pick.region);
 }
 
-impl Front {
-    /// A target has broken off an answer: it may have died of the request.
-    fn suspect(&self, admitted: &Admitted, pick: &Pick) {
-        let Some(print) = &admitted.poison else { return };
-        let event = format!("{}/{}", admitted.id, pick.id);
-        let death = Death { fingerprint: print.clone(), event };
-        self.learn_death(&death);
+/// Looks whether a target that broke off an answer has died of the request.
+async fn examine(front: Arc<Front>, pick: Pick, poison: Option<String>, id: String) {
+    let connect = TcpStream::connect(pick.addr);
+    let gone = match tokio::time::timeout(EXAMINE_TIMEOUT, connect).await {
+        Ok(Ok(_)) => return,
+        Ok(Err(e)) => e.kind() == std::io::ErrorKind::ConnectionRefused,
+        Err(_) => false,
+    };
+    front.known.parts().book.failed(clock::now(), &pick.id);
+    if let Some(fingerprint) = poison.filter(|_| gone) {
+        let event = format!("{id}/{}", pick.id);
+        front.decisions.note("death", &Died { id: &id, target: pick.id.as_str() });
+        front.learn_deaths(&[Death { fingerprint, event }]);
     }
 }
+
+#[derive(Serialize)]
+struct Died<'a> {
+    id: &'a str,
+    target: &'a str,
+}
--- a/src/front/config.rs
+++ b/src/front/config.rs
@@ -74,6 +74,8 @@
     pub fail_closed: bool,
     /// Time that a stopping process has before it is killed.
     pub grace: Span,
+    /// Requests of a customer in a window beyond its rate and burst, over the whole fleet.
+    pub rate_slack: f64,
     /// Longest time for which callers may keep a look-up's answer.
     pub lookup_ttl: Span,
     /// Repeats as a part of requests.
@@ -169,11 +171,7 @@
 
     fn check(&self) -> Result<()> {
         ensure!(!self.vm.as_str().is_empty(), "vm: is empty; a name is needed");
-        ensure!(
-            self.zones.contains_key(&self.zone),
-            "zone: {} does not stand in zones",
-            self.zone
-        );
+        ensure!(self.zones.contains_key(&self.zone), "zone: {} does not stand in zones", self.zone);
         ensure!(self.peers.port > 0, "peers.port: 0 is no port");
         let bounds = &self.bounds;
         for (field, span) in [
@@ -189,9 +187,11 @@
                 span.0.as_millis()
             );
         }
-        for (field, value) in
-            [("bounds.retry_ratio", bounds.retry_ratio), ("bounds.retry_slack", bounds.retry_slack)]
-        {
+        for (field, value) in [
+            ("bounds.retry_ratio", bounds.retry_ratio),
+            ("bounds.retry_slack", bounds.retry_slack),
+            ("bounds.rate_slack", bounds.rate_slack),
+        ] {
             ensure!(value.is_finite() && value >= 0.0, "{field}: {value} is below 0");
         }
         Ok(())
--- a/src/front/ingress.rs
+++ b/src/front/ingress.rs
@@ -25,8 +25,8 @@
 
 /// Longest body that is read whole before it is sent on, in bytes.
 const HELD_BODY: usize = 64 << 10;
-/// Age of the keys is kept below the bound by this much.
-const REVOKE_MARGIN: Duration = Duration::from_millis(600);
+/// Age of the keys is kept below the bound by this much; watches may hear of a change late.
+const REVOKE_MARGIN: Duration = Duration::from_millis(1_300);
 /// When to come back after a refusal for want of room or knowledge.
 const RETRY_SOON: Duration = Duration::from_millis(400);
 /// When to come back after a refusal for the rate.
@@ -73,7 +73,6 @@
     pub(crate) customer: Option<Customer>,
     pub(crate) homes: Option<Vec<RegionId>>,
     pub(crate) object: Fingerprint,
-    pub(crate) arrived: Duration,
     /// When the final answer is due.
     pub(crate) due: Duration,
     /// Same for the same customer, method, path and body; none if the body is too long.
@@ -86,6 +85,7 @@
     id: &'a str,
     route: &'a str,
     customer: &'a str,
+    object: &'a str,
     status: u16,
     reason: &'a str,
     detail: &'a str,
@@ -101,6 +101,7 @@
     id: String,
     route: String,
     customer: String,
+    object: String,
     /// Targets that it was sent to and what became of it there.
     pub(crate) targets: String,
 }
@@ -204,7 +205,10 @@
         }
         Content::Rest(..) => None,
     };
-    let object = object_of(front, &head.headers, &route);
+    let object = object_of(front, &head.headers).filter(|_| route.sticky);
+    trail.object = object.unwrap_or_default().to_owned();
+    // A request without an object goes anywhere.
+    let object = object.map_or_else(|| rand::rng().random(), |o| fingerprint(o.as_bytes()));
     let service = choose_part(&route.parts)
         .ok_or_else(|| Refused::not_run("no-service", "the route has no service"))?;
     let admitted = Admitted {
@@ -217,7 +221,6 @@
         customer,
         homes,
         object,
-        arrived,
         due,
         poison,
     };
@@ -243,7 +246,11 @@
     let bounds = index.table().bounds;
     let length = headers.get(CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse::<u64>().ok());
     if length.is_some_and(|l| l > bounds.body_bytes) {
-        return Err(Refused::new(StatusCode::PAYLOAD_TOO_LARGE, "long-body", "the body is too long"));
+        return Err(Refused::new(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "long-body",
+            "the body is too long",
+        ));
     }
     let size: usize = headers.iter().map(|(n, v)| n.as_str().len() + v.len() + 4).sum();
     if size as u64 > bounds.head_bytes {
@@ -285,14 +292,11 @@
     head.uri.path_and_query().map_or_else(|| "/".to_owned(), ToString::to_string)
 }
 
-/// The object of a request; a request without one goes anywhere.
-fn object_of(front: &Front, headers: &HeaderMap, route: &Route) -> Fingerprint {
+/// The object of a request.
+fn object_of<'a>(front: &Front, headers: &'a HeaderMap) -> Option<&'a str> {
     let cookies = headers.get_all(COOKIE).iter().filter_map(|v| v.to_str().ok());
     let mut pairs = cookies.flat_map(|v| v.split(';')).filter_map(|p| p.trim().split_once('='));
-    match pairs.find(|(name, _)| *name == front.headers.object_cookie) {
-        Some((_, object)) if route.sticky => fingerprint(object.as_bytes()),
-        _ => rand::rng().random(),
-    }
+    pairs.find(|(name, _)| *name == front.headers.object_cookie).map(|(_, object)| object)
 }
 
 /// Draws a service in proportion to the weights.
@@ -336,6 +340,7 @@
             id: &trail.id,
             route: &trail.route,
             customer: &trail.customer,
+            object: &trail.object,
             status: status.as_u16(),
             reason,
             detail,
--- a/src/front/knowledge.rs
+++ b/src/front/knowledge.rs
@@ -21,6 +21,15 @@
 /// Time after the store's return for which lost entries of targets are not believed.
 const RETURN: Duration = Duration::from_millis(2_300);
 
+/// Time that the tokens of a VM should last: its zone's head is near.
+const OWN_AHEAD: Duration = Duration::from_millis(300);
+/// Time that the tokens of a zone should last: the pool may be in another region.
+const ZONE_AHEAD: Duration = Duration::from_millis(800);
+/// Part of a burst that a zone keeps at hand.
+const ZONE_SPARE: f64 = 0.1;
+/// Part of the fleet's slack above a rate that may be at hand as tokens.
+const EXTRA: f64 = 0.5;
+
 /// The name of the one object of the table's feed.
 const TABLE_NAME: &str = "main";
 
@@ -30,7 +39,10 @@
     pub(crate) book: TargetBook,
     pub(crate) fleet: Fleet,
     pub(crate) pool: Pool,
+    /// This VM's own tokens, and its part of every rate.
     pub(crate) purse: Purse,
+    /// Tokens for all VMs of the zone, while this VM is its head.
+    pub(crate) zone_purse: Purse,
     pub(crate) retries: Retries,
     pub(crate) poison: Poison,
     /// Until then, entries of targets that are missing may come back.
@@ -51,8 +63,9 @@
             feeds: Default::default(),
             book: TargetBook::new(regions),
             fleet: Fleet::new(config.vm.clone(), config.place(), config.zones.clone()),
-            pool: Pool::default(),
-            purse: Purse::new(now + Purse::start_pause()),
+            pool: Pool::new(config.bounds.rate_slack * EXTRA),
+            purse: Purse::new(now + Purse::start_pause(), OWN_AHEAD, 0.0),
+            zone_purse: Purse::new(now, ZONE_AHEAD, ZONE_SPARE),
             retries: Retries::new(config.retry_bounds()),
             poison: Poison::default(),
             unsure_until: Duration::ZERO,
@@ -92,7 +105,9 @@
         let news = parts.feeds[feed as usize].apply(delta, fresh);
         let bodies: Vec<(String, Option<Bytes>)> = {
             let held: HashMap<&str, &Bytes> = parts.feeds[feed as usize].items().collect();
-            news.into_iter().map(|n| (n.clone(), held.get(n.as_str()).map(|b| (*b).clone()))).collect()
+            news.into_iter()
+                .map(|n| (n.clone(), held.get(n.as_str()).map(|b| (*b).clone())))
+                .collect()
         };
         match feed {
             Feed::Table => return self.follow_table(bodies),
@@ -135,12 +150,7 @@
         self.book.evacuate(now, zones);
     }
 
-    fn follow_vms(
-        &mut self,
-        _now: Duration,
-        bodies: Vec<(String, Option<Bytes>)>,
-        _first: bool,
-    ) {
+    fn follow_vms(&mut self, _now: Duration, bodies: Vec<(String, Option<Bytes>)>, _first: bool) {
         for (name, body) in bodies {
             let vm = VmId::new(&name);
             match body.and_then(|b| decode::<VmEntry>("vms", &name, &b)) {
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -56,10 +56,14 @@
     closed: AtomicBool,
     /// Requests that have no answer yet.
     active: AtomicU64,
-    /// Wakes the part that draws tokens.
+    /// Wakes the task that draws this VM's tokens.
     pub(crate) thirsty: Notify,
     /// Wakes requests that wait for tokens.
     pub(crate) filled: Notify,
+    /// Wakes the task that draws the zone's tokens.
+    pub(crate) zone_thirsty: Notify,
+    /// Wakes VMs of the zone that wait for tokens.
+    pub(crate) zone_filled: Notify,
 }
 
 impl Front {
--- a/src/front/news.rs
+++ b/src/front/news.rs
@@ -1,4 +1,5 @@
-//! Follows the store: one entry VM of a zone reads it, the others ask that one.
+//! Follows the store: one entry VM of a region reads it, the heads of the region's zones ask that
+//! one, and the others ask the head of their zone.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,21 +15,27 @@
 use super::Front;
 
 /// Time between two questions for news.
-const SYNC_PAUSE: Duration = Duration::from_millis(300);
+const SYNC_PAUSE: Duration = Duration::from_millis(250);
 /// Longest wait for an answer in the zone.
 const SYNC_TIMEOUT: Duration = Duration::from_millis(400);
 /// Longest wait for an answer from another zone.
 const FAR_TIMEOUT: Duration = Duration::from_millis(700);
+/// Age of news from which on their source is passed over.
+const NEWS_AGE: Duration = Duration::from_millis(2_200);
 /// Age of the configuration from which on a VM reads the store itself.
-const READ_AGE: Duration = Duration::from_millis(1_900);
+const READ_AGE: Duration = Duration::from_millis(2_500);
 /// Age of the configuration from which on VMs of other zones are asked.
-const FAR_AGE: Duration = Duration::from_millis(2_300);
+const FAR_AGE: Duration = Duration::from_millis(2_700);
 /// Time between two questions to another zone of the region.
 const NEAR_PAUSE: Duration = Duration::from_millis(900);
 /// Wait of the watch that proves the configuration's age.
-const TABLE_WAIT: Duration = Duration::from_millis(1_100);
-/// Wait of the other watches.
-const WATCH_WAIT: Duration = Duration::from_secs(15);
+const TABLE_WAIT: Duration = Duration::from_millis(900);
+/// Wait of the watch on targets: no longer, since an answer can be lost with its connection.
+const TARGETS_WAIT: Duration = Duration::from_millis(1_300);
+/// Wait of the watch on evacuations.
+const EVACUATIONS_WAIT: Duration = Duration::from_millis(2_500);
+/// Wait of the watch on entry VMs.
+const VMS_WAIT: Duration = Duration::from_millis(5_000);
 /// Pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 /// Pause between looks at whether this VM has to read the store.
@@ -86,10 +93,9 @@
         }
         let sent = clock::now();
         let mark = front.known.parts().feeds[feed as usize].mark();
-        let wait = if feed == Feed::Table { TABLE_WAIT } else { WATCH_WAIT };
         let read = match mark {
             0 => front.source.list(feed).await,
-            mark => front.source.changes(feed, mark, wait).await,
+            mark => front.source.changes(feed, mark, wait_of(feed)).await,
         };
         let read = match read {
             Err(e) if e.compacted => {
@@ -104,7 +110,10 @@
                     front.decisions.always("regained", &format_feed(feed));
                 }
                 failing = false;
-                front.offer(feed, delta, sent, "store");
+                // A watch that ran to its end without a change was true for all of its wait.
+                let waited = sent + wait_of(feed);
+                let quiet = mark > 0 && delta.items.is_empty() && clock::now() >= waited;
+                front.offer(feed, delta, if quiet { waited } else { sent }, "store");
             }
             Err(e) => {
                 if !failing {
@@ -118,6 +127,15 @@
     }
 }
 
+fn wait_of(feed: Feed) -> Duration {
+    match feed {
+        Feed::Table => TABLE_WAIT,
+        Feed::Targets => TARGETS_WAIT,
+        Feed::Evacuations => EVACUATIONS_WAIT,
+        Feed::Vms => VMS_WAIT,
+    }
+}
+
 #[derive(Serialize)]
 struct Dependency {
     dependency: String,
@@ -137,14 +155,12 @@
             let parts = front.known.parts();
             (parts.fleet.source(now), parts.feeds[Feed::Table as usize].age(now))
         };
+        if now >= near_next && front.known.parts().fleet.is_head(now) {
+            near_next = now + NEAR_PAUSE;
+            tokio::spawn(ask_near(front.clone()));
+        }
         match &source {
-            Some(vm) if *vm != front.me.vm => {
-                ask(&front, vm, SYNC_TIMEOUT).await;
-            }
-            Some(_) if now >= near_next => {
-                near_next = now + NEAR_PAUSE;
-                tokio::spawn(ask_near(front.clone()));
-            }
+            Some(vm) if *vm != front.me.vm => ask(&front, vm, SYNC_TIMEOUT).await,
             Some(_) => {}
             None => {
                 ask_seed(&front, seed).await;
@@ -165,11 +181,7 @@
     for zone in zones {
         let vm = {
             let parts = front.known.parts();
-            if parts.fleet.is_near(&zone) {
-                parts.fleet.source_of(clock::now(), &zone)
-            } else {
-                None
-            }
+            if parts.fleet.is_near(&zone) { parts.fleet.head_of(clock::now(), &zone) } else { None }
         };
         if let Some(vm) = vm {
             ask(&front, &vm, FAR_TIMEOUT).await;
@@ -185,7 +197,7 @@
         if zones.is_empty() {
             return;
         }
-        parts.fleet.source_of(clock::now(), &zones[turn % zones.len()])
+        parts.fleet.head_of(clock::now(), &zones[turn % zones.len()])
     };
     if let Some(vm) = vm {
         ask(front, &vm, FAR_TIMEOUT).await;
@@ -222,8 +234,14 @@
     };
     match answered(answer) {
         Ok(news) => {
-            front.known.parts().fleet.answered(vm);
             front.take_news(news, sent, vm.as_str());
+            let now = clock::now();
+            let age = front.known.table_age(now);
+            let mut parts = front.known.parts();
+            match age {
+                Some(age) if age < NEWS_AGE => parts.fleet.answered(vm),
+                _ => parts.fleet.unanswered(now, vm),
+            }
         }
         Err(e) => {
             log::debug!("news: {vm} gave none: {e}.");
--- a/src/front/outbound.rs
+++ b/src/front/outbound.rs
@@ -68,8 +68,6 @@
     addr: SocketAddr,
     pool: Outbound,
     until: Duration,
-    /// True if the connection has carried a request before.
-    pub(crate) reused: bool,
 }
 
 impl Drop for Lease {
@@ -99,8 +97,7 @@
 }
 
 impl Outbound {
-    /// Sends a request, over an idle connection if there is one that is used again within
-    /// `recent`, and returns the head of the answer.
+    /// Sends a request, over an idle connection if `reuse` and there is one, and returns the head of the answer.
     pub(crate) async fn send(
         &self,
         addr: SocketAddr,
@@ -145,7 +142,7 @@
         while let Some(Idle { conn, until }) = conns.pop() {
             if until > now && conn.sender.is_ready() {
                 let pool = self.clone();
-                return Some(Lease { conn: Some(conn), addr, pool, until, reused: true });
+                return Some(Lease { conn: Some(conn), addr, pool, until });
             }
             conn.task.abort();
         }
@@ -170,13 +167,7 @@
             }
         });
         let conn = Conn { sender, task: task.abort_handle() };
-        Ok(Lease {
-            conn: Some(conn),
-            addr,
-            pool: self.clone(),
-            until: Duration::ZERO,
-            reused: false,
-        })
+        Ok(Lease { conn: Some(conn), addr, pool: self.clone(), until: Duration::ZERO })
     }
 
     async fn send_on(
--- a/src/front/probes.rs
+++ b/src/front/probes.rs
@@ -65,7 +65,8 @@
         .map_err(|e| e.to_string())?;
     let (response, _lease) =
         front.outbound.send(addr, request, false).await.map_err(|e| e.to_string())?;
-    let text = |name| response.headers().get(name).and_then(|v: &http::HeaderValue| v.to_str().ok());
+    let text =
+        |name| response.headers().get(name).and_then(|v: &http::HeaderValue| v.to_str().ok());
     if text(&front.headers.instance) != Some(id.as_str()) {
         return Err("another target answered".to_owned());
     }
--- a/src/front/rates.rs
+++ b/src/front/rates.rs
@@ -1,4 +1,5 @@
-//! Draws tokens of customers' rates from the pool, and lets requests wait for them.
+//! Tokens of customers' rates: every VM lends its part to the pool, the head of each zone draws
+//! from the pool, and the VMs of a zone draw from their head.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,37 +8,50 @@
 
 use crate::clock;
 use crate::model::VmId;
-use crate::peer::{Body, Draw, WireWant};
-use crate::steer::{Customer, Grant, Spend, Want};
+use crate::peer::{Body, Draw, Drawn, PeerError, WireWant};
+use crate::steer::{Customer, Grant, Spend, Stamp, Want};
 
 use super::Front;
 
-/// Time between two draws.
-const DRAW_PAUSE: Duration = Duration::from_millis(350);
-/// Least time between two draws when requests wait.
-const DRAW_HURRY: Duration = Duration::from_millis(60);
+/// Time between two calls of the pool.
+const POOL_PAUSE: Duration = Duration::from_millis(350);
+/// Least time between two calls of the pool when requests wait.
+const POOL_HURRY: Duration = Duration::from_millis(100);
 /// Longest wait for the pool's answer.
-const DRAW_TIMEOUT: Duration = Duration::from_millis(500);
+const POOL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time between two calls of the zone's head.
+const ZONE_PAUSE: Duration = Duration::from_millis(120);
+/// Least time between two calls of the zone's head when requests wait.
+const ZONE_HURRY: Duration = Duration::from_millis(5);
+/// Longest wait for the answer of the zone's head.
+const ZONE_TIMEOUT: Duration = Duration::from_millis(350);
+/// Longest time for which a head waits for tokens before it answers.
+const HEAD_WAIT: Duration = Duration::from_millis(200);
 /// Longest time for which a request waits for a token.
-const TOKEN_WAIT: Duration = Duration::from_millis(250);
+const TOKEN_WAIT: Duration = Duration::from_millis(260);
 /// Time for which a new VM does not use its part, so that all others know of it.
 const JOIN_PAUSE: Duration = Duration::from_secs(5);
 
-/// Draws tokens for as long as the process runs.
-pub(crate) async fn run(front: Arc<Front>) {
-    let start = clock::now();
-    // Where the whole system starts, nobody uses a larger part yet.
-    let idle_until = start + JOIN_PAUSE;
+/// Starts the tasks that lend and draw.
+pub(crate) fn start(front: &Arc<Front>) {
+    tokio::spawn(call_pool(front.clone()));
+    tokio::spawn(call_head(front.clone()));
+}
+
+/// Lends this VM's part to the pool, and draws for the zone if this VM is its head.
+async fn call_pool(front: Arc<Front>) {
+    let idle_until = clock::now() + JOIN_PAUSE;
     loop {
-        draw(&front, idle_until).await;
+        draw_from_pool(&front, idle_until).await;
+        front.zone_filled.notify_waiters();
         front.filled.notify_waiters();
-        tokio::time::sleep(DRAW_HURRY).await;
+        tokio::time::sleep(POOL_HURRY).await;
         // Either may come first; both lead to the next draw.
-        let _ = timeout(DRAW_PAUSE - DRAW_HURRY, front.thirsty.notified()).await;
+        let _ = timeout(POOL_PAUSE - POOL_HURRY, front.zone_thirsty.notified()).await;
     }
 }
 
-async fn draw(front: &Front, idle_until: Duration) {
+async fn draw_from_pool(front: &Front, idle_until: Duration) {
     let now = clock::now();
     let Some(index) = front.known.index() else { return };
     let (pool, addr, loan, wants) = {
@@ -45,46 +59,124 @@
         parts.own_part(&front.me.vm, front.me.incarnation, idle_until);
         let Some(pool) = parts.fleet.pool(now) else { return };
         let Some(addr) = parts.fleet.entry(&pool).map(|e| e.peers) else { return };
-        let members = parts.fleet.len();
-        let wants = parts.purse.wants(now, index.table(), members);
+        let wants = match parts.fleet.is_head(now) {
+            true => parts.zone_purse.wants(now, index.table()),
+            false => Vec::new(),
+        };
         let loan = parts.purse.lend(now, &pool);
         (pool, addr, loan, wants)
     };
     if pool == front.me.vm {
         let loan = loan.map(|(part, (_, stamp))| (part, stamp));
         let (stamp, grants) = front.draw_here(&pool, loan, &wants);
-        front.known.parts().purse.take(now, &pool, (front.me.incarnation, stamp), &grants);
+        front.take_grants(&pool, (front.me.incarnation, stamp), &grants);
         return;
     }
-    draw_from(front, &pool, addr, loan, &wants).await;
-}
-
-async fn draw_from(
-    front: &Front,
-    pool: &VmId,
-    addr: std::net::SocketAddr,
-    loan: Option<(f64, (u64, Duration))>,
-    wants: &[Want],
-) {
     let (part, (life, stamp)) = loan.unwrap_or_default();
     let wants = wants.iter().map(WireWant::from).collect();
-    let draw = Draw { part, stamp_us: stamp.as_micros() as u64, wants, life };
-    match front.sessions.call(pool, addr, Body::Draw(draw), DRAW_TIMEOUT).await {
-        Ok(Body::Drawn(drawn)) => {
+    let stamp_us = stamp.as_micros() as u64;
+    let deaths = front.recent_deaths();
+    let draw = Draw { part, stamp_us, wants, life, zone: false, deaths };
+    match drawn(front.sessions.call(&pool, addr, Body::Draw(draw), POOL_TIMEOUT).await) {
+        Ok(drawn) => {
             let grants: Vec<Grant> = drawn.grants.iter().map(|g| g.to_grant()).collect();
+            front.known.parts().fleet.answered(&pool);
+            front.learn_deaths(&drawn.deaths);
             let stamp = (drawn.life, Duration::from_micros(drawn.stamp_us));
-            let mut parts = front.known.parts();
-            parts.fleet.answered(pool);
-            parts.purse.take(clock::now(), pool, stamp, &grants);
+            front.take_grants(&pool, stamp, &grants);
         }
-        Ok(_) => log::warn!("rates: {pool} sent no tokens."),
         Err(e) => {
             log::info!("rates: {pool} gives no tokens: {e}.");
-            front.known.parts().fleet.unanswered(clock::now(), pool);
+            front.known.parts().fleet.unanswered(clock::now(), &pool);
+        }
+    }
+}
+
+/// Draws this VM's own tokens from the head of its zone.
+async fn call_head(front: Arc<Front>) {
+    loop {
+        draw_from_head(&front).await;
+        front.filled.notify_waiters();
+        tokio::time::sleep(ZONE_HURRY).await;
+        // Either may come first; both lead to the next draw.
+        let _ = timeout(ZONE_PAUSE, front.thirsty.notified()).await;
+    }
+}
+
+async fn draw_from_head(front: &Front) {
+    let now = clock::now();
+    let Some(index) = front.known.index() else { return };
+    let (head, addr, wants) = {
+        let mut parts = front.known.parts();
+        let Some(head) = parts.fleet.head(now) else { return };
+        let Some(addr) = parts.fleet.entry(&head).map(|e| e.peers) else { return };
+        let mut wants = parts.purse.wants(now, index.table());
+        wants.retain(|w| w.tokens > 0.0);
+        (head, addr, wants)
+    };
+    if wants.is_empty() {
+        return;
+    }
+    let grants = if head == front.me.vm {
+        hand_out(front, &wants).await
+    } else {
+        let wants = wants.iter().map(WireWant::from).collect();
+        let draw = Draw { wants, zone: true, ..Draw::default() };
+        match drawn(front.sessions.call(&head, addr, Body::Draw(draw), ZONE_TIMEOUT).await) {
+            Ok(drawn) => drawn.grants.iter().map(|g| g.to_grant()).collect(),
+            Err(e) => {
+                log::info!("rates: head {head} gives no tokens: {e}.");
+                front.known.parts().fleet.unanswered(clock::now(), &head);
+                return;
+            }
         }
+    };
+    front.known.parts().purse.add(&grants);
+}
+
+fn drawn(answer: Result<Body, PeerError>) -> Result<Drawn, String> {
+    match answer {
+        Ok(Body::Drawn(drawn)) => Ok(drawn),
+        Ok(_) => Err("it sent no tokens".to_owned()),
+        Err(e) => Err(e.to_string()),
     }
 }
 
+/// Hands out the zone's tokens; if there is none at all for what is wanted, waits for the pool.
+pub(crate) async fn hand_out(front: &Front, wants: &[Want]) -> Vec<Grant> {
+    let until = clock::now() + HEAD_WAIT;
+    loop {
+        let filled = front.zone_filled.notified();
+        let now = clock::now();
+        let (grants, short) = hand_out_now(front, now, wants);
+        if short {
+            front.zone_thirsty.notify_one();
+        }
+        let left = until.saturating_sub(now);
+        if !grants.is_empty() || left.is_zero() || timeout(left, filled).await.is_err() {
+            return grants;
+        }
+    }
+}
+
+/// Tokens at hand for `wants`, and whether there were too few.
+fn hand_out_now(front: &Front, now: Duration, wants: &[Want]) -> (Vec<Grant>, bool) {
+    let Some(index) = front.known.index() else { return (Vec::new(), false) };
+    let mut parts = front.known.parts();
+    let mut short = false;
+    let mut grants = Vec::new();
+    for want in wants {
+        let customer = index.table().customers.iter().find(|c| c.id == want.customer);
+        let Some(customer) = customer else { continue };
+        let tokens = parts.zone_purse.hand_out(now, customer, want.tokens);
+        short |= tokens < want.tokens;
+        if tokens > 0.0 {
+            grants.push(Grant { customer: want.customer.clone(), tokens });
+        }
+    }
+    (grants, short)
+}
+
 /// Takes a token of `customer`, waiting a little if there is none at hand.
 pub(crate) async fn take(front: &Front, customer: &Customer) -> bool {
     let until = clock::now() + TOKEN_WAIT;
@@ -103,3 +195,12 @@
         }
     }
 }
+
+impl Front {
+    /// Takes in the pool's answer.
+    fn take_grants(&self, pool: &VmId, stamp: Stamp, grants: &[Grant]) {
+        let mut parts = self.known.parts();
+        parts.purse.lent(clock::now(), pool, stamp);
+        parts.zone_purse.add(grants);
+    }
+}
--- a/src/front/run.rs
+++ b/src/front/run.rs
@@ -65,7 +65,8 @@
         headers: Headers,
     ) -> Result<Self> {
         let place = config.place();
-        let me = Identity { vm: config.vm.clone(), place: place.clone(), incarnation: unix_millis() };
+        let me =
+            Identity { vm: config.vm.clone(), place: place.clone(), incarnation: unix_millis() };
         let secret = fleet_secret(&config);
         let own = config.listen.callers.ip();
         let dialer = Dialer { me: me.clone(), secret: secret.clone(), bind: Some(own) };
@@ -84,6 +85,8 @@
             active: AtomicU64::new(0),
             thirsty: Notify::new(),
             filled: Notify::new(),
+            zone_thirsty: Notify::new(),
+            zone_filled: Notify::new(),
             me: me.clone(),
             place,
             headers,
@@ -94,7 +97,7 @@
         let sessions = PeerServer::start(peers, me, secret, Arc::new(Answering(front.clone())))?;
         news::start(&front);
         tokio::spawn(probes::run(front.clone()));
-        tokio::spawn(rates::run(front.clone()));
+        rates::start(&front);
         let bounds = ServeBounds { head_timeout: IDLE_TIMEOUT, head_bytes: HEAD_BYTES };
         let calling = Arc::new(Calling(front.clone()));
         let callers = Server::start_bounded(listener, None, calling, bounds)?;
@@ -111,7 +114,11 @@
     ///
     /// # Errors
     /// Fails if the port can't be taken.
-    pub async fn serve_also(&mut self, addr: SocketAddr, responder: Arc<dyn Respond>) -> Result<()> {
+    pub async fn serve_also(
+        &mut self,
+        addr: SocketAddr,
+        responder: Arc<dyn Respond>,
+    ) -> Result<()> {
         let listener = listen("listen", addr).await?;
         self.extra.push(Server::start(listener, None, responder)?);
         Ok(())
@@ -155,11 +162,7 @@
 
 impl Front {
     fn life(&self) -> Life<'_> {
-        Life {
-            vm: self.me.vm.as_str(),
-            zone: self.place.zone.as_str(),
-            life: self.me.incarnation,
-        }
+        Life { vm: self.me.vm.as_str(), zone: self.place.zone.as_str(), life: self.me.incarnation }
     }
 }
 
--- a/src/front/sessions.rs
+++ b/src/front/sessions.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_trait::async_trait;
 
@@ -15,12 +15,14 @@
 };
 use crate::steer::{Feed, Grant, Heard, Want};
 
-use super::Front;
+use super::{Front, rates};
 
 /// Time for which a call waits for its session to open.
 const OPEN_WAIT: Duration = Duration::from_millis(250);
 /// Pause between looks at whether a session is open.
 const OPEN_LOOK: Duration = Duration::from_millis(10);
+/// Time for which a death is told to others.
+const DEATHS_TOLD: Duration = Duration::from_secs(8);
 /// Time after which an unused session is closed.
 const UNUSED_MAX: Duration = Duration::from_secs(15);
 
@@ -61,13 +63,6 @@
         answer
     }
 
-    /// Sends a message without an answer over all open sessions.
-    pub(crate) fn broadcast(&self, body: &Body) {
-        for client in self.clients.lock().expect("clients lock").values() {
-            client.client.note(body.clone());
-        }
-    }
-
     fn client(&self, vm: &VmId, addr: SocketAddr) -> Arc<PeerClient> {
         let now = clock::now();
         let mut clients = self.clients.lock().expect("clients lock");
@@ -89,16 +84,13 @@
     async fn call(&self, from: &Identity, body: Body) -> Body {
         match body {
             Body::Sync(sync) => Body::Synced(self.0.answer_sync(from, &sync)),
+            Body::Draw(draw) if draw.zone => Body::Drawn(self.0.answer_zone_draw(&draw).await),
             Body::Draw(draw) => Body::Drawn(self.0.answer_draw(from, &draw)),
             _ => Body::Empty(Empty {}),
         }
     }
 
-    fn note(&self, _: &Identity, body: Body) {
-        if let Body::Death(death) = body {
-            self.0.learn_death(&death);
-        }
-    }
+    fn note(&self, _: &Identity, _: Body) {}
 
     fn met(&self, _: &Identity) {}
 }
@@ -136,12 +128,23 @@
     }
 
     fn answer_draw(&self, from: &Identity, draw: &Draw) -> Drawn {
+        self.learn_deaths(&draw.deaths);
         let wants: Vec<Want> = draw.wants.iter().map(|w| w.to_want()).collect();
         let stamp = (draw.life == self.me.incarnation)
             .then(|| (draw.part, Duration::from_micros(draw.stamp_us)));
         let (now, grants) = self.draw_here(&from.vm, stamp, &wants);
         let grants = grants.iter().map(WireGrant::from).collect();
-        Drawn { stamp_us: now.as_micros() as u64, grants, life: self.me.incarnation }
+        let stamp_us = now.as_micros() as u64;
+        Drawn { stamp_us, grants, life: self.me.incarnation, deaths: self.recent_deaths() }
+    }
+
+    /// Hands tokens to a VM of this zone; waits a little if there is none at hand.
+    async fn answer_zone_draw(&self, draw: &Draw) -> Drawn {
+        let wants: Vec<Want> = draw.wants.iter().map(|w| w.to_want()).collect();
+        let grants = rates::hand_out(self, &wants).await;
+        let grants = grants.iter().map(WireGrant::from).collect();
+        let stamp_us = clock::now().as_micros() as u64;
+        Drawn { stamp_us, grants, life: self.me.incarnation, deaths: Vec::new() }
     }
 
     /// Draws from this VM's own pool; `loan` is a part and the pool's stamp that came with it.
@@ -160,9 +163,19 @@
         (now, parts.pool.grant(now, index.table(), vm, wants))
     }
 
-    /// Learns that a target died while it ran a request.
-    pub(crate) fn learn_death(&self, death: &Death) {
-        let now = std::time::Instant::now();
-        self.known.parts().poison.died(now, &death.fingerprint, &death.event);
+    /// Learns that targets died while they ran requests.
+    pub(crate) fn learn_deaths(&self, deaths: &[Death]) {
+        let now = Instant::now();
+        let mut parts = self.known.parts();
+        for death in deaths {
+            parts.poison.died(now, &death.fingerprint, &death.event);
+        }
+    }
+
+    /// The deaths to tell others of.
+    pub(crate) fn recent_deaths(&self) -> Vec<Death> {
+        let Some(since) = Instant::now().checked_sub(DEATHS_TOLD) else { return Vec::new() };
+        let recent = self.known.parts().poison.recent(since);
+        recent.into_iter().map(|(fingerprint, event)| Death { fingerprint, event }).collect()
     }
 }
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -15,9 +15,7 @@
     Heartbeat, Home, Load, Objects, Outcome, VersionList, WireObject, WireVersion, ask, outcome,
 };
 pub use server::{PeerHandler, PeerServer};
-pub use steering::{
-    Draw, Drawn, FeedNews, Sync, Synced, WireGrant, WireHeard, WireItem, WireWant,
-};
+pub use steering::{Draw, Drawn, FeedNews, Sync, Synced, WireGrant, WireHeard, WireItem, WireWant};
 
 /// Largest frame, in bytes: a request or answer body with its headers.
 pub(crate) const FRAME_BYTES_MAX: usize = 12 << 20;
--- a/src/peer/steering.rs
+++ b/src/peer/steering.rs
@@ -4,6 +4,7 @@
 use prost::Message;
 use std::time::Duration;
 
+use super::message::Death;
 use crate::model::{CustomerId, VmId, ZoneId};
 use crate::steer::{Delta, Feed, Grant, Heard, Item, Want};
 
@@ -101,6 +102,12 @@
     /// The pool's life to which the stamp belongs.
     #[prost(uint64, tag = "4")]
     pub life: u64,
+    /// True if the receiver is asked as the head of the sender's zone, not as the pool.
+    #[prost(bool, tag = "5")]
+    pub zone: bool,
+    /// Deaths of targets that the sender has seen.
+    #[prost(message, repeated, tag = "6")]
+    pub deaths: Vec<Death>,
 }
 
 /// Tokens of one customer.
@@ -129,6 +136,9 @@
     /// The pool's life.
     #[prost(uint64, tag = "3")]
     pub life: u64,
+    /// Deaths of targets that the pool has heard of.
+    #[prost(message, repeated, tag = "4")]
+    pub deaths: Vec<Death>,
 }
 
 /// Tokens granted for one customer.
--- a/src/steer/affinity.rs
+++ b/src/steer/affinity.rs
@@ -20,3 +20,11 @@
     z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     z ^ (z >> 31)
 }
+
+/// The weight of a member for an object when members differ in size: the highest is the first
+/// choice, and members come first in proportion to their sizes.
+pub fn sized_rank(object: Fingerprint, member: Fingerprint, size: f64) -> f64 {
+    // From the open interval between 0 and 1, in which the logarithm is negative.
+    let part = ((rank(object, member) >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
+    -size / part.ln()
+}
--- a/src/steer/fleet.rs
+++ b/src/steer/fleet.rs
@@ -16,8 +16,8 @@
 const PASSED_OVER: Duration = Duration::from_millis(1_500);
 /// Key of the order in which VMs pool the rates.
 const POOL_ORDER: &[u8] = b"pool";
-/// Key of the order in which VMs read the store for their zone.
-const READER_ORDER: &[u8] = b"reader";
+/// Key of the order in which VMs read the store for their zone and region.
+const HEAD_ORDER: &[u8] = b"reader";
 
 /// An entry VM's entry in the store.
 #[apply(record!)]
@@ -135,17 +135,31 @@
         self.silent.remove(vm);
     }
 
-    /// Whom to ask for news in this zone: the first in the zone's order that answers, or nobody if
-    /// that is this VM.
-    pub fn source(&self, now: Duration) -> Option<VmId> {
-        let members = self.vms.iter().filter(|(_, e)| e.place.zone == self.place.zone);
-        self.first(now, READER_ORDER, members.map(|(vm, _)| vm))
+    /// The head of a zone: the first in the zone's order that answers.
+    pub fn head_of(&self, now: Duration, zone: &ZoneId) -> Option<VmId> {
+        let members = self.vms.iter().filter(|(_, e)| e.place.zone == *zone);
+        self.first(now, HEAD_ORDER, members.map(|(vm, _)| vm))
     }
 
-    /// Whom to ask for news in another zone.
-    pub fn source_of(&self, now: Duration, zone: &ZoneId) -> Option<VmId> {
-        let members = self.vms.iter().filter(|(_, e)| e.place.zone == *zone);
-        self.first(now, READER_ORDER, members.map(|(vm, _)| vm))
+    /// The head of this VM's zone.
+    pub fn head(&self, now: Duration) -> Option<VmId> {
+        self.head_of(now, &self.place.zone)
+    }
+
+    /// True if this VM is the head of its zone.
+    pub fn is_head(&self, now: Duration) -> bool {
+        self.head(now).as_ref() == Some(&self.me)
+    }
+
+    /// Whom to ask for news: the head of the zone; for the head, the first of the region; this VM
+    /// itself if it is that one.
+    pub fn source(&self, now: Duration) -> Option<VmId> {
+        let head = self.head(now)?;
+        if head != self.me {
+            return Some(head);
+        }
+        let members = self.vms.iter().filter(|(_, e)| e.place.region == self.place.region);
+        self.first(now, HEAD_ORDER, members.map(|(vm, _)| vm))
     }
 
     /// The VM that pools the rates.
@@ -203,11 +217,8 @@
         let live = self.live.values().filter(|l| l.serving && now.saturating_sub(l.at) < SILENT);
         let mut all: Vec<(&ZoneId, SocketAddr)> = live.map(|l| (&l.zone, l.callers)).collect();
         all.extend(own.map(|addr| (&self.place.zone, addr)));
-        let tiers: [&dyn Fn(&ZoneId) -> bool; 3] = [
-            &|z| z == zone,
-            &|z| region.is_some() && self.regions.get(z) == region,
-            &|_| true,
-        ];
+        let tiers: [&dyn Fn(&ZoneId) -> bool; 3] =
+            [&|z| z == zone, &|z| region.is_some() && self.regions.get(z) == region, &|_| true];
         let mut best = Vec::new();
         for tier in tiers {
             best = all.iter().filter(|(z, _)| tier(z)).map(|(_, addr)| *addr).collect::<Vec<_>>();
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -16,7 +16,7 @@
 mod table;
 mod targets;
 
-pub use affinity::{Fingerprint, fingerprint, rank};
+pub use affinity::{Fingerprint, fingerprint, rank, sized_rank};
 pub use fleet::{Fleet, Heard, LiveVm, VmEntry};
 pub use pool::{Grant, Pool, Want};
 pub use purse::{Purse, Spend, Stamp};
--- a/src/steer/pool.rs
+++ b/src/steer/pool.rs
@@ -41,6 +41,9 @@
     loans: HashMap<VmId, Loan>,
     accounts: BTreeMap<CustomerId, Account>,
     filled: Duration,
+    /// Tokens of each customer that may be at hand beyond its burst: what the fleet's bound allows
+    /// above the rate.
+    extra: f64,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -65,6 +68,11 @@
 }
 
 impl Pool {
+    /// A pool without loans that may keep `extra` tokens above each burst.
+    pub fn new(extra: f64) -> Self {
+        Self { extra, ..Self::default() }
+    }
+
     /// Takes a loan of `part` of every sum. `stamp` is the pool's own time that the lender has last
     /// had from it.
     pub fn lend(&mut self, now: Duration, table: &Table, vm: &VmId, part: f64, stamp: Duration) {
@@ -113,7 +121,7 @@
             let account = self.accounts.entry(customer.id.clone()).or_default();
             account.members.retain(|_, w| now.saturating_sub(w.at) < WORD);
             let held: f64 = account.members.values().map(|w| w.held).sum();
-            let cap = (customer.burst * part - held).max(0.0);
+            let cap = (customer.burst * part + self.extra - held).max(0.0);
             account.tokens = (account.tokens + customer.rate * part * passed).min(cap);
         }
     }
--- a/src/steer/purse.rs
+++ b/src/steer/purse.rs
@@ -10,12 +10,11 @@
 
 /// Added to a loan before the lender uses its part again, for clocks that run at other speeds.
 const LOAN_GUARD: Duration = Duration::from_millis(50);
-/// Time that tokens asked for ahead should last.
-const AHEAD: Duration = Duration::from_millis(1_300);
 /// Time over which demand is smoothed.
 const SMOOTH: Duration = Duration::from_millis(1_000);
-/// Tokens kept at hand for a customer that has sent nothing lately, if its burst is large enough.
-const SPARE: f64 = 1.0;
+
+/// Fewer tokens are not worth an ask.
+const ASK_MIN: f64 = 0.3;
 
 /// What became of asking for a token.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -38,6 +37,10 @@
     /// The pool's life and time that it last sent, to be sent back with the next loan.
     stamp: Option<(VmId, Stamp)>,
     accounts: BTreeMap<CustomerId, Account>,
+    /// Time that tokens asked for ahead should last.
+    ahead: Duration,
+    /// Tokens kept at hand for a customer that has sent nothing lately, as a part of its burst.
+    spare: f64,
 }
 
 /// A life of a pool, and a time on its own clock.
@@ -61,9 +64,11 @@
 }
 
 impl Purse {
-    /// The purse of a VM that starts at `now` and owns nothing before `idle_until`.
-    pub fn new(idle_until: Duration) -> Self {
-        Self { part: 0.0, idle_until, loan: None, stamp: None, accounts: BTreeMap::new() }
+    /// A purse that owns no part before `idle_until`, asks for tokens that last for `ahead`, and
+    /// keeps `spare` of each burst at hand.
+    pub fn new(idle_until: Duration, ahead: Duration, spare: f64) -> Self {
+        let (loan, stamp, accounts) = Default::default();
+        Self { part: 0.0, idle_until, loan, stamp, accounts, ahead, spare }
     }
 
     /// The least time after a start before a part may be used.
@@ -98,18 +103,30 @@
         Spend::Empty
     }
 
+    /// Hands out at most `tokens` to another VM, and counts them as demand.
+    pub fn hand_out(&mut self, now: Duration, customer: &Customer, tokens: f64) -> f64 {
+        let floor = self.floor(now);
+        let account = self.accounts.entry(customer.id.clone()).or_default();
+        account.refill(now, customer, floor);
+        let given = tokens.min(account.tokens).max(0.0);
+        account.tokens -= given;
+        account.demand += given / SMOOTH.as_secs_f64();
+        account.missed = account.missed.max(tokens - given);
+        given
+    }
+
     /// What to ask of the pool.
-    pub fn wants(&mut self, now: Duration, table: &Table, members: usize) -> Vec<Want> {
+    pub fn wants(&mut self, now: Duration, table: &Table) -> Vec<Want> {
         let floor = self.floor(now);
         let mut out = Vec::new();
         for customer in table.customers.iter().filter(|c| c.rate > 0.0) {
             let account = self.accounts.entry(customer.id.clone()).or_default();
             account.refill(now, customer, floor);
-            let spare = if customer.burst >= 3.0 * members as f64 { SPARE } else { 0.0 };
-            let goal = account.demand * AHEAD.as_secs_f64() + account.missed + spare;
+            let spare = customer.burst * self.spare;
+            let goal = account.demand * self.ahead.as_secs_f64() + account.missed + spare;
             account.missed = 0.0;
             let tokens = (goal.min(customer.burst) - account.tokens).max(0.0);
-            if tokens >= 0.5 || account.tokens >= 0.5 {
+            if tokens >= ASK_MIN || account.tokens >= ASK_MIN {
                 let (customer, held) = (customer.id.clone(), account.tokens);
                 out.push(Want { customer, tokens, held });
             }
@@ -132,8 +149,8 @@
         Some((self.part, *stamp))
     }
 
-    /// Takes in a pool's answer: its stamp, and tokens.
-    pub fn take(&mut self, now: Duration, pool: &VmId, stamp: Stamp, grants: &[Grant]) {
+    /// Takes in a pool's stamp. From here on the part counts as lent.
+    pub fn lent(&mut self, now: Duration, pool: &VmId, stamp: Stamp) {
         // A loan under this stamp ends at the pool before `over`.
         let over = now + LOAN + LOAN_GUARD;
         let other = self.loan.as_ref().is_some_and(|l| l.pool != *pool && l.over > now);
@@ -141,6 +158,10 @@
             self.loan = Some(Loan { pool: pool.clone(), over });
             self.stamp = Some((pool.clone(), stamp));
         }
+    }
+
+    /// Takes in tokens.
+    pub fn add(&mut self, grants: &[Grant]) {
         for grant in grants {
             self.accounts.entry(grant.customer.clone()).or_default().tokens += grant.tokens;
         }
--- a/src/steer/replica.rs
+++ b/src/steer/replica.rs
@@ -138,9 +138,10 @@
             })
             .collect();
         if !full {
-            let gone = self.gone.iter().filter(|(rev, name)| {
-                *rev > mark && !self.items.contains_key(name)
-            });
+            let gone = self
+                .gone
+                .iter()
+                .filter(|(rev, name)| *rev > mark && !self.items.contains_key(name));
             items.extend(gone.map(|(rev, name)| Item {
                 name: name.clone(),
                 revision: *rev,
--- a/src/steer/retries.rs
+++ b/src/steer/retries.rs
@@ -78,10 +78,8 @@
         let cap = self.cap();
         // The slack of a window is there again when the window is over.
         let refill = cap / self.bounds.window.as_secs_f64().max(1.0) / 2.0;
-        let account = self
-            .accounts
-            .entry(service.clone())
-            .or_insert(Account { tokens: cap / 2.0, at: now });
+        let account =
+            self.accounts.entry(service.clone()).or_insert(Account { tokens: cap / 2.0, at: now });
         let passed = now.saturating_sub(account.at).as_secs_f64();
         account.tokens = (account.tokens + passed * refill).min(cap);
         account.at = now;
--- a/src/steer/targets.rs
+++ b/src/steer/targets.rs
@@ -6,7 +6,7 @@
 
 use macro_rules_attribute::apply;
 
-use super::affinity::{Fingerprint, fingerprint, rank};
+use super::affinity::{Fingerprint, fingerprint, rank, sized_rank};
 use crate::common::record;
 use crate::model::{RegionId, ServiceId, TargetId, ZoneId};
 
@@ -18,6 +18,12 @@
 const PROBE_PAUSE_MAX: Duration = Duration::from_secs(2);
 /// Time for which a target that the store has lost is kept after the store's return.
 const LAPSE: Duration = Duration::from_millis(2_300);
+/// How much larger a target of the own region counts when an object's targets are ranked.
+const NEAR_SIZE: f64 = 3.0;
+/// Time after which a target's report on its load counts for nothing.
+const REPORT_LIFE: Duration = Duration::from_millis(2_000);
+/// Requests by which an object's second target must be less loaded to be used.
+const SPILL_GAIN: f64 = 1.0;
 /// Part of a cold target's rate that is used.
 const COLD_USED: f64 = 0.8;
 
@@ -83,17 +89,37 @@
     cold_next: Duration,
     /// Requests of this entry VM that run there.
     running: u32,
+    /// Requests of others there, by its last report.
+    others: f64,
+    /// When it made the report.
+    reported: Duration,
     /// Set when the store has lost the entry at a time when it can't be believed.
     lapsed: Option<Duration>,
 }
 
+impl Known {
+    /// Requests that are there now, as far as this entry VM can know.
+    fn load(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.reported).as_secs_f64();
+        let trust = (1.0 - age / REPORT_LIFE.as_secs_f64()).max(0.0);
+        f64::from(self.running) + self.others * trust
+    }
+
+    /// Requests for each slot.
+    fn fill(&self, now: Duration) -> f64 {
+        self.load(now) / f64::from(self.entry.slots.max(1))
+    }
+}
+
 /// What a request needs of a target.
 #[derive(Clone, Copy, Debug)]
 pub struct Choice<'a> {
     /// The service.
     pub service: &'a ServiceId,
-    /// The object; requests for the same object go to the same target.
+    /// The object; requests for the same object go to the same targets.
     pub object: Fingerprint,
+    /// The region of this entry VM.
+    pub region: &'a RegionId,
     /// Regions in which it may run; none means all.
     pub homes: Option<&'a [RegionId]>,
     /// Targets that it has been sent to before.
@@ -147,7 +173,8 @@
                 if reborn {
                     known.sight = Sight::Trusted;
                 }
-                known.cold_until = cold_until.max(if reborn { cold_until } else { known.cold_until });
+                known.cold_until =
+                    cold_until.max(if reborn { cold_until } else { known.cold_until });
                 known.lapsed = None;
                 known.entry = entry;
             }
@@ -161,6 +188,8 @@
                     cold_until,
                     cold_next: Duration::ZERO,
                     running: 0,
+                    others: 0.0,
+                    reported: Duration::ZERO,
                     lapsed: None,
                 };
                 self.targets.insert(id, known);
@@ -198,16 +227,31 @@
         self.cold_zones = zones;
     }
 
-    /// Chooses a target: the first in the object's order that is usable.
+    /// Chooses a target: the first in the object's order that is usable, or the second if the
+    /// first has no free slot and more to do.
     pub fn pick(&mut self, now: Duration, choice: &Choice<'_>) -> Option<Pick> {
-        let best = self
+        let usable = self
             .targets
             .iter()
             .filter(|(id, k)| self.is_open(k, choice) && !choice.avoid.contains(id))
-            .filter(|(_, k)| k.sight == Sight::Trusted && k.cold_until <= now)
-            .max_by_key(|(_, k)| rank(choice.object, k.hash))
-            .map(|(id, _)| id.clone());
-        let id = best.or_else(|| self.pick_cold(now, choice))?;
+            .filter(|(_, k)| k.sight == Sight::Trusted && k.cold_until <= now);
+        let (mut first, mut second): (Option<(f64, &TargetId, &Known)>, _) = (None, None);
+        for (id, known) in usable {
+            let near = if known.region == *choice.region { NEAR_SIZE } else { 1.0 };
+            let size = f64::from(known.entry.slots.max(1)) * near;
+            let score = sized_rank(choice.object, known.hash, size);
+            let candidate = Some((score, id, known));
+            if first.is_none_or(|(best, ..)| score > best) {
+                (first, second) = (candidate, first);
+            } else if second.is_none_or(|(best, ..): (f64, _, _)| score > best) {
+                second = candidate;
+            }
+        }
+        let chosen = match (first, second) {
+            (Some((_, _, a)), Some((_, id, b))) if spills(now, a, b) => Some(id),
+            (first, _) => first.map(|(_, id, _)| id),
+        };
+        let id = chosen.cloned().or_else(|| self.pick_cold(now, choice))?;
         let known = self.targets.get(&id)?;
         Some(Pick { id, addr: known.entry.addr, region: known.region.clone() })
     }
@@ -251,6 +295,14 @@
         }
     }
 
+    /// Learns how many requests a target has, with those of this entry VM, and its slots.
+    pub fn reported(&mut self, now: Duration, id: &TargetId, requests: u32) {
+        if let Some(known) = self.targets.get_mut(id) {
+            known.others = f64::from(requests.saturating_sub(known.running));
+            known.reported = now;
+        }
+    }
+
     /// Learns that a target can't be reached or broke off.
     pub fn failed(&mut self, now: Duration, id: &TargetId) {
         if let Some(known) = self.targets.get_mut(id) {
@@ -319,3 +371,9 @@
         (self.targets.len(), self.targets.values().filter(usable).count())
     }
 }
+
+/// True if an object's second target is to be used in place of the first.
+fn spills(now: Duration, first: &Known, second: &Known) -> bool {
+    let slots = f64::from(first.entry.slots.max(1));
+    first.load(now) >= slots && second.fill(now) + SPILL_GAIN / slots < first.fill(now)
+}
--- a/src/targets/poison.rs
+++ b/src/targets/poison.rs
@@ -59,6 +59,12 @@
         entry.last = now;
     }
 
+    /// Deaths seen after `since`, as fingerprints and events.
+    pub fn recent(&self, since: Instant) -> Vec<(String, String)> {
+        let recent = self.deaths.iter().filter(|(_, d)| d.last > since);
+        recent.flat_map(|(k, d)| d.events.iter().map(|e| (k.clone(), e.clone()))).collect()
+    }
+
     /// The quarantine of a request, if it is in one.
     pub fn quarantine(&self, now: Instant, fingerprint: &str) -> Option<Quarantine> {
         let deaths = self.deaths.get(fingerprint)?;
