--- a/src/front/news.rs
+++ b/src/front/news.rs
@@ -20,16 +20,18 @@
 const SYNC_TIMEOUT: Duration = Duration::from_millis(400);
 /// Longest wait for an answer from another zone.
 const FAR_TIMEOUT: Duration = Duration::from_millis(700);
-/// Age of news from which on their source is passed over.
-const NEWS_AGE: Duration = Duration::from_millis(2_200);
+/// Age of news from which on a zone's head passes their source over.
+const HEAD_AGE: Duration = Duration::from_millis(1_200);
+/// Age of news from which on the other VMs of a zone pass their head over.
+const MEMBER_AGE: Duration = Duration::from_millis(1_500);
 /// Age of the configuration from which on a VM reads the store itself.
-const READ_AGE: Duration = Duration::from_millis(2_500);
+const READ_AGE: Duration = Duration::from_millis(2_000);
 /// Age of the configuration from which on VMs of other zones are asked.
-const FAR_AGE: Duration = Duration::from_millis(2_700);
+const FAR_AGE: Duration = Duration::from_millis(2_300);
 /// Time between two questions to another zone of the region.
 const NEAR_PAUSE: Duration = Duration::from_millis(900);
 /// Wait of the watch that proves the configuration's age.
-const TABLE_WAIT: Duration = Duration::from_millis(900);
+const TABLE_WAIT: Duration = Duration::from_millis(600);
 /// Wait of the watch on targets: no longer, since an answer can be lost with its connection.
 const TARGETS_WAIT: Duration = Duration::from_millis(1_300);
 /// Wait of the watch on evacuations.
@@ -238,8 +240,9 @@
             let now = clock::now();
             let age = front.known.table_age(now);
             let mut parts = front.known.parts();
+            let limit = if parts.fleet.is_head(now) { HEAD_AGE } else { MEMBER_AGE };
             match age {
-                Some(age) if age < NEWS_AGE => parts.fleet.answered(vm),
+                Some(age) if age < limit => parts.fleet.answered(vm),
                 _ => parts.fleet.unanswered(now, vm),
             }
         }
--- a/src/steer/fleet.rs
+++ b/src/steer/fleet.rs
@@ -151,15 +151,16 @@
         self.head(now).as_ref() == Some(&self.me)
     }
 
-    /// Whom to ask for news: the head of the zone; for the head, the first of the region; this VM
-    /// itself if it is that one.
+    /// Whom to ask for news: the head of the zone; for a head, the first of the region's heads; this
+    /// VM itself if it is that one.
     pub fn source(&self, now: Duration) -> Option<VmId> {
         let head = self.head(now)?;
         if head != self.me {
             return Some(head);
         }
-        let members = self.vms.iter().filter(|(_, e)| e.place.region == self.place.region);
-        self.first(now, HEAD_ORDER, members.map(|(vm, _)| vm))
+        let zones = self.regions.keys().filter(|z| self.is_near(z));
+        let heads: Vec<VmId> = zones.filter_map(|z| self.head_of(now, z)).collect();
+        self.first(now, HEAD_ORDER, heads.iter())
     }
 
     /// The VM that pools the rates.
