Hand rates over before a stop, use a part sooner after a start, refuse what would be late

A VM whose entry replaces an older one waits for no news, a pool says whether it uses a loan of an earlier life, a stopping pool gives loans back, and a request whose target's queue and pace exceed the time left is refused.

--- a/src/front/attempt.rs
+++ b/src/front/attempt.rs
@@ -20,7 +20,7 @@
 use crate::model::TargetId;
 use crate::net::whole_body;
 use crate::peer::Death;
-use crate::steer::{Choice, Pick};
+use crate::steer::{Choice, Pick, Picked};
 
 use super::ingress::{Admitted, Content, Refused, Trail, path_of};
 use super::outbound::{Lease, SendFailure, read_up_to};
@@ -73,8 +73,15 @@
     let mut history = History::default();
     let most = admitted.route.attempts.max(1);
     loop {
-        let Some(pick) = pick(front, &admitted, &history) else {
-            return Err(history.refuse("no-target", "no target may take the request"));
+        let pick = match pick(front, &admitted, &history) {
+            Picked::Target(pick) => pick,
+            Picked::Busy(late) => {
+                let refused = history.refuse("busy", "every target would answer too late");
+                return Err(refused.retry_after(late));
+            }
+            Picked::Nothing => {
+                return Err(history.refuse("no-target", "no target may take the request"));
+            }
         };
         if clock::now() + LEFT_MIN > admitted.due {
             return Err(history.refuse("no-time", "too little time is left"));
@@ -182,13 +189,14 @@
     }
 }
 
-fn pick(front: &Front, admitted: &Admitted, history: &History) -> Option<Pick> {
+fn pick(front: &Front, admitted: &Admitted, history: &History) -> Picked {
     let choice = Choice {
         service: &admitted.service,
         object: admitted.object,
         region: &front.place.region,
         homes: admitted.homes.as_deref(),
         avoid: &history.avoid,
+        left: admitted.due.saturating_sub(clock::now()),
         cold_rate: admitted.index.service(&admitted.service).map_or(0.0, |s| s.cold_rate),
     };
     front.known.parts().book.pick(clock::now(), &choice)
@@ -217,11 +225,16 @@
         Err(cause) => return Ended::Unreached(cause),
     };
     let _running = Running::new(front, pick);
+    let start = clock::now();
     let sent = front.outbound.send(pick.addr, request, true).await;
     match sent {
         Ok((response, lease)) => {
             note_load(front, pick, response.headers());
-            receive(front, admitted, response, lease).await
+            let ended = receive(front, admitted, response, lease).await;
+            if matches!(ended, Ended::Answered(_)) {
+                front.known.parts().book.took(pick, clock::now().saturating_sub(start));
+            }
+            ended
         }
         Err(SendFailure { sent: false, step, peer, cause }) => {
             Ended::Unreached(format!("{step} at {peer}: {cause}"))
--- a/src/front/ingress.rs
+++ b/src/front/ingress.rs
@@ -51,6 +51,11 @@
         let refused = Self::new(StatusCode::SERVICE_UNAVAILABLE, reason, detail);
         Self { retry: Some(RETRY_SOON), ..refused }
     }
+
+    /// Tells the caller to come back after `pause` at the least.
+    pub(crate) fn retry_after(self, pause: Duration) -> Self {
+        Self { retry: self.retry.map(|r| r.max(pause)), ..self }
+    }
 }
 
 /// The body of a request.
--- a/src/front/knowledge.rs
+++ b/src/front/knowledge.rs
@@ -8,7 +8,8 @@
 use bytes::Bytes;
 use serde::de::DeserializeOwned;
 
-use crate::model::{Incarnation, TargetId, VmId, ZoneId};
+use crate::model::{TargetId, VmId, ZoneId};
+use crate::peer::Identity;
 use crate::steer::{
     Delta, Feed, Fleet, Index, Pool, Purse, Replica, Retries, Table, TargetBook, VmEntry,
 };
@@ -21,10 +22,12 @@
 /// Time after the store's return for which lost entries of targets are not believed.
 const RETURN: Duration = Duration::from_millis(2_300);
 
+/// Time for which a new VM does not use its part of the rates.
+const JOIN_PAUSE: Duration = Duration::from_secs(5);
 /// Time that the tokens of a VM should last: its zone's head is near.
 const OWN_AHEAD: Duration = Duration::from_millis(300);
 /// Time that the tokens of a zone should last: the pool may be in another region.
-const ZONE_AHEAD: Duration = Duration::from_millis(800);
+const ZONE_AHEAD: Duration = Duration::from_millis(1_100);
 /// Part of a burst that a zone keeps at hand.
 const ZONE_SPARE: f64 = 0.1;
 /// Part of the fleet's slack above a rate that may be at hand as tokens.
@@ -47,6 +50,8 @@
     pub(crate) poison: Poison,
     /// Until then, entries of targets that are missing may come back.
     unsure_until: Duration,
+    /// Whether this VM's entry has replaced an older one; none until it is written.
+    rejoined: Option<bool>,
 }
 
 /// What a front knows.
@@ -64,11 +69,12 @@
             book: TargetBook::new(regions),
             fleet: Fleet::new(config.vm.clone(), config.place(), config.zones.clone()),
             pool: Pool::new(config.bounds.rate_slack * EXTRA),
-            purse: Purse::new(now + Purse::start_pause(), OWN_AHEAD, 0.0),
+            purse: Purse::new(now, OWN_AHEAD, 0.0),
             zone_purse: Purse::new(now, ZONE_AHEAD, ZONE_SPARE),
             retries: Retries::new(config.retry_bounds()),
             poison: Poison::default(),
             unsure_until: Duration::ZERO,
+            rejoined: None,
         };
         Self { parts: Mutex::new(parts), index: ArcSwapOption::empty() }
     }
@@ -101,7 +107,6 @@
         if away {
             parts.unsure_until = now + RETURN;
         }
-        let first = parts.feeds[feed as usize].fresh().is_none();
         let news = parts.feeds[feed as usize].apply(delta, fresh);
         let bodies: Vec<(String, Option<Bytes>)> = {
             let held: HashMap<&str, &Bytes> = parts.feeds[feed as usize].items().collect();
@@ -114,7 +119,7 @@
             Feed::Targets => parts.follow_targets(now, bodies),
             Feed::Evacuations if !bodies.is_empty() => parts.follow_evacuations(now),
             Feed::Evacuations => {}
-            Feed::Vms => parts.follow_vms(now, bodies, first),
+            Feed::Vms => parts.follow_vms(bodies),
         }
         None
     }
@@ -150,7 +155,7 @@
         self.book.evacuate(now, zones);
     }
 
-    fn follow_vms(&mut self, _now: Duration, bodies: Vec<(String, Option<Bytes>)>, _first: bool) {
+    fn follow_vms(&mut self, bodies: Vec<(String, Option<Bytes>)>) {
         for (name, body) in bodies {
             let vm = VmId::new(&name);
             match body.and_then(|b| decode::<VmEntry>("vms", &name, &b)) {
@@ -161,12 +166,21 @@
         self.retries.share(self.fleet.len());
     }
 
-    /// Learns this VM's part of every customer's rate, once the others can know that it has one.
-    pub(crate) fn own_part(&mut self, me: &VmId, life: Incarnation, idle_until: Duration) {
-        let listed = self.fleet.entry(me).is_some_and(|e| e.incarnation == life);
-        if listed {
-            self.purse.own(1.0 / self.fleet.len().max(1) as f64, idle_until);
+    /// Learns that this VM's entry is written, and whether it has `replaced` an older one.
+    pub(crate) fn joined(&mut self, replaced: bool) {
+        self.rejoined.get_or_insert(replaced);
+    }
+
+    /// Learns this VM's part of every customer's rate. A VM that has just joined waits until the
+    /// others can know that there is one more.
+    pub(crate) fn own_part(&mut self, me: &Identity, start: Duration) {
+        let Some(entry) = self.fleet.entry(&me.vm) else { return };
+        if entry.incarnation < me.incarnation {
+            self.joined(true);
         }
+        let Some(rejoined) = self.rejoined else { return };
+        let pause = if rejoined { Duration::ZERO } else { JOIN_PAUSE };
+        self.purse.own(1.0 / self.fleet.len().max(1) as f64, start + pause);
     }
 }
 
--- a/src/front/news.rs
+++ b/src/front/news.rs
@@ -70,8 +70,14 @@
         callers: front.config.listen.callers,
         incarnation: front.me.incarnation,
     };
-    while let Err(e) = front.source.announce(&front.me.vm, &entry).await {
-        log::warn!("news: this VM's entry is not written: {e}.");
+    let mut first = true;
+    loop {
+        match front.source.announce(&front.me.vm, &entry).await {
+            // After a lost answer, the older entry may be this life's own.
+            Ok(replaced) => return front.known.parts().joined(first && replaced),
+            Err(e) => log::warn!("news: this VM's entry is not written: {e}."),
+        }
+        first = false;
         sleep(ANNOUNCE_PAUSE).await;
     }
 }
@@ -236,12 +242,14 @@
     };
     match answered(answer) {
         Ok(news) => {
+            let leaving = news.leaving;
             front.take_news(news, sent, vm.as_str());
             let now = clock::now();
             let age = front.known.table_age(now);
             let mut parts = front.known.parts();
             let limit = if parts.fleet.is_head(now) { HEAD_AGE } else { MEMBER_AGE };
             match age {
+                _ if leaving => parts.fleet.leaves(now, vm),
                 Some(age) if age < limit => parts.fleet.answered(vm),
                 _ => parts.fleet.unanswered(now, vm),
             }
--- a/src/front/rates.rs
+++ b/src/front/rates.rs
@@ -29,8 +29,6 @@
 const HEAD_WAIT: Duration = Duration::from_millis(200);
 /// Longest time for which a request waits for a token.
 const TOKEN_WAIT: Duration = Duration::from_millis(260);
-/// Time for which a new VM does not use its part, so that all others know of it.
-const JOIN_PAUSE: Duration = Duration::from_secs(5);
 
 /// Starts the tasks that lend and draw.
 pub(crate) fn start(front: &Arc<Front>) {
@@ -40,9 +38,9 @@
 
 /// Lends this VM's part to the pool, and draws for the zone if this VM is its head.
 async fn call_pool(front: Arc<Front>) {
-    let idle_until = clock::now() + JOIN_PAUSE;
+    let start = clock::now();
     loop {
-        draw_from_pool(&front, idle_until).await;
+        draw_from_pool(&front, start).await;
         front.zone_filled.notify_waiters();
         front.filled.notify_waiters();
         tokio::time::sleep(POOL_HURRY).await;
@@ -51,12 +49,12 @@
     }
 }
 
-async fn draw_from_pool(front: &Front, idle_until: Duration) {
+async fn draw_from_pool(front: &Front, start: Duration) {
     let now = clock::now();
     let Some(index) = front.known.index() else { return };
     let (pool, addr, loan, wants) = {
         let mut parts = front.known.parts();
-        parts.own_part(&front.me.vm, front.me.incarnation, idle_until);
+        parts.own_part(&front.me, start);
         let Some(pool) = parts.fleet.pool(now) else { return };
         let Some(addr) = parts.fleet.entry(&pool).map(|e| e.peers) else { return };
         let wants = match parts.fleet.is_head(now) {
@@ -69,6 +67,8 @@
     if pool == front.me.vm {
         let loan = loan.map(|(part, (_, stamp))| (part, stamp));
         let (stamp, grants) = front.draw_here(&pool, loan, &wants);
+        // This life lends to itself, and an earlier one's loans have gone with it.
+        front.known.parts().purse.unlent();
         front.take_grants(&pool, (front.me.incarnation, stamp), &grants);
         return;
     }
@@ -80,8 +80,18 @@
     match drawn(front.sessions.call(&pool, addr, Body::Draw(draw), POOL_TIMEOUT).await) {
         Ok(drawn) => {
             let grants: Vec<Grant> = drawn.grants.iter().map(|g| g.to_grant()).collect();
-            front.known.parts().fleet.answered(&pool);
             front.learn_deaths(&drawn.deaths);
+            if drawn.leaving {
+                let mut parts = front.known.parts();
+                parts.fleet.leaves(clock::now(), &pool);
+                parts.purse.returned(&pool);
+                front.zone_thirsty.notify_one();
+                return;
+            }
+            front.known.parts().fleet.answered(&pool);
+            if !drawn.lent {
+                front.known.parts().purse.unlent();
+            }
             let stamp = (drawn.life, Duration::from_micros(drawn.stamp_us));
             front.take_grants(&pool, stamp, &grants);
         }
@@ -123,7 +133,12 @@
         let wants = wants.iter().map(WireWant::from).collect();
         let draw = Draw { wants, zone: true, ..Draw::default() };
         match drawn(front.sessions.call(&head, addr, Body::Draw(draw), ZONE_TIMEOUT).await) {
-            Ok(drawn) => drawn.grants.iter().map(|g| g.to_grant()).collect(),
+            Ok(drawn) => {
+                if drawn.leaving {
+                    front.known.parts().fleet.leaves(clock::now(), &head);
+                }
+                drawn.grants.iter().map(|g| g.to_grant()).collect()
+            }
             Err(e) => {
                 log::info!("rates: head {head} gives no tokens: {e}.");
                 front.known.parts().fleet.unanswered(clock::now(), &head);
@@ -200,7 +215,11 @@
     /// Takes in the pool's answer.
     fn take_grants(&self, pool: &VmId, stamp: Stamp, grants: &[Grant]) {
         let mut parts = self.known.parts();
-        parts.purse.lent(clock::now(), pool, stamp);
+        let new = parts.purse.lent(clock::now(), pool, stamp);
         parts.zone_purse.add(grants);
+        if new {
+            // The part can be lent with the next call only, under the stamp that has just come.
+            self.zone_thirsty.notify_one();
+        }
     }
 }
--- a/src/front/sessions.rs
+++ b/src/front/sessions.rs
@@ -113,7 +113,7 @@
             let age = replica.age(now)?;
             Some(FeedNews::new(feed, age, replica.delta(mark)))
         });
-        Synced { feeds: feeds.collect(), live }
+        Synced { feeds: feeds.collect(), live, leaving: self.is_leaving() }
     }
 
     /// What this VM says of itself.
@@ -132,10 +132,13 @@
         let wants: Vec<Want> = draw.wants.iter().map(|w| w.to_want()).collect();
         let stamp = (draw.life == self.me.incarnation)
             .then(|| (draw.part, Duration::from_micros(draw.stamp_us)));
+        let lent = self.known.parts().pool.has_loan(clock::now(), &from.vm);
         let (now, grants) = self.draw_here(&from.vm, stamp, &wants);
         let grants = grants.iter().map(WireGrant::from).collect();
         let stamp_us = now.as_micros() as u64;
-        Drawn { stamp_us, grants, life: self.me.incarnation, deaths: self.recent_deaths() }
+        let (life, deaths, leaving) =
+            (self.me.incarnation, self.recent_deaths(), self.is_leaving());
+        Drawn { stamp_us, grants, life, deaths, leaving, lent }
     }
 
     /// Hands tokens to a VM of this zone; waits a little if there is none at hand.
@@ -144,7 +147,8 @@
         let grants = rates::hand_out(self, &wants).await;
         let grants = grants.iter().map(WireGrant::from).collect();
         let stamp_us = clock::now().as_micros() as u64;
-        Drawn { stamp_us, grants, life: self.me.incarnation, deaths: Vec::new() }
+        let leaving = self.is_leaving();
+        Drawn { stamp_us, grants, life: self.me.incarnation, leaving, ..Drawn::default() }
     }
 
     /// Draws from this VM's own pool; `loan` is a part and the pool's stamp that came with it.
@@ -157,6 +161,10 @@
         let now = clock::now();
         let Some(index) = self.known.index() else { return (now, Vec::new()) };
         let mut parts = self.known.parts();
+        if self.is_leaving() {
+            parts.pool.close();
+            return (now, Vec::new());
+        }
         if let Some((part, stamp)) = loan.filter(|(part, _)| *part > 0.0 && *part <= 1.0) {
             parts.pool.lend(now, index.table(), vm, part, stamp);
         }
--- a/src/front/source.rs
+++ b/src/front/source.rs
@@ -37,11 +37,11 @@
     /// Fails if the store gives no answer, refuses, or has forgotten the changes.
     async fn changes(&self, feed: Feed, mark: u64, wait: Duration) -> Result<Delta, SourceError>;
 
-    /// Writes the entry of an entry VM.
+    /// Writes the entry of an entry VM. True if it has replaced an older one.
     ///
     /// # Errors
     /// Fails if the store gives no answer or refuses; the entry may have been written.
-    async fn announce(&self, vm: &VmId, entry: &VmEntry) -> Result<(), SourceError>;
+    async fn announce(&self, vm: &VmId, entry: &VmEntry) -> Result<bool, SourceError>;
 }
 
 /// The headers by which callers, fronts and targets speak of a request.
--- a/src/peer/steering.rs
+++ b/src/peer/steering.rs
@@ -31,6 +31,9 @@
     /// Entry VMs that the sender has heard of.
     #[prost(message, repeated, tag = "2")]
     pub live: Vec<WireHeard>,
+    /// True if the sender will stop soon; others are to be asked.
+    #[prost(bool, tag = "3")]
+    pub leaving: bool,
 }
 
 /// News of one feed.
@@ -139,6 +142,12 @@
     /// Deaths of targets that the pool has heard of.
     #[prost(message, repeated, tag = "4")]
     pub deaths: Vec<Death>,
+    /// True if the sender will stop soon and uses no loan any more.
+    #[prost(bool, tag = "5")]
+    pub leaving: bool,
+    /// True if the pool uses a loan of the asker, or of an earlier life of it.
+    #[prost(bool, tag = "6")]
+    pub lent: bool,
 }
 
 /// Tokens granted for one customer.
--- a/src/steer/fleet.rs
+++ b/src/steer/fleet.rs
@@ -14,6 +14,8 @@
 const SILENT: Duration = Duration::from_millis(2_000);
 /// Time for which a VM that did not answer is passed over.
 const PASSED_OVER: Duration = Duration::from_millis(1_500);
+/// Time for which a VM that will stop soon is passed over.
+const LEAVING: Duration = Duration::from_millis(6_500);
 /// Key of the order in which VMs pool the rates.
 const POOL_ORDER: &[u8] = b"pool";
 /// Key of the order in which VMs read the store for their zone and region.
@@ -130,6 +132,11 @@
         self.silent.insert(vm.clone(), now + PASSED_OVER);
     }
 
+    /// Learns that a VM will stop soon.
+    pub fn leaves(&mut self, now: Duration, vm: &VmId) {
+        self.silent.insert(vm.clone(), now + LEAVING);
+    }
+
     /// Learns that a VM has answered.
     pub fn answered(&mut self, vm: &VmId) {
         self.silent.remove(vm);
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -25,4 +25,4 @@
 pub use table::{
     Access, Bounds, Customer, Index, KeyDigest, Match, Part, Route, Service, Table, key_digest,
 };
-pub use targets::{Choice, Pick, Sight, TargetBook, TargetEntry, TargetState};
+pub use targets::{Choice, Pick, Picked, Sight, TargetBook, TargetEntry, TargetState};
--- a/src/steer/pool.rs
+++ b/src/steer/pool.rs
@@ -84,6 +84,17 @@
         self.loans.insert(vm.clone(), Loan { part, until });
     }
 
+    /// Uses no loan any more, so that the lenders have their parts back at once.
+    pub fn close(&mut self) {
+        self.loans.clear();
+        self.accounts.clear();
+    }
+
+    /// True if a loan of `vm` is in use.
+    pub fn has_loan(&self, now: Duration, vm: &VmId) -> bool {
+        self.loans.get(vm).is_some_and(|l| l.until > now)
+    }
+
     /// Answers a member's wants.
     pub fn grant(&mut self, now: Duration, table: &Table, vm: &VmId, wants: &[Want]) -> Vec<Grant> {
         self.fill(now, table);
--- a/src/steer/purse.rs
+++ b/src/steer/purse.rs
@@ -30,9 +30,10 @@
 pub struct Purse {
     /// This VM's part of every sum.
     part: f64,
-    /// The part is not used before this time: an earlier life of this VM may have lent it, or
-    /// others may not know yet that it has one.
+    /// The part is not used before this time: others may not know yet that this VM has one.
     idle_until: Duration,
+    /// The part is not used before this time: an earlier life of this VM may have lent it.
+    unsure_until: Duration,
     loan: Option<Loan>,
     /// The pool's life and time that it last sent, to be sent back with the next loan.
     stamp: Option<(VmId, Stamp)>,
@@ -64,16 +65,12 @@
 }
 
 impl Purse {
-    /// A purse that owns no part before `idle_until`, asks for tokens that last for `ahead`, and
+    /// The purse of a process that starts at `now`. It asks for tokens that last for `ahead`, and
     /// keeps `spare` of each burst at hand.
-    pub fn new(idle_until: Duration, ahead: Duration, spare: f64) -> Self {
+    pub fn new(now: Duration, ahead: Duration, spare: f64) -> Self {
         let (loan, stamp, accounts) = Default::default();
-        Self { part: 0.0, idle_until, loan, stamp, accounts, ahead, spare }
-    }
-
-    /// The least time after a start before a part may be used.
-    pub fn start_pause() -> Duration {
-        LOAN + LOAN_GUARD
+        let (idle_until, unsure_until) = (now, now + LOAN + LOAN_GUARD);
+        Self { part: 0.0, idle_until, unsure_until, loan, stamp, accounts, ahead, spare }
     }
 
     /// Learns this VM's part of every sum.
@@ -138,7 +135,7 @@
     /// What may be lent to `pool` now: the part, and the pool's own stamp. The part is lent from
     /// this moment on.
     pub fn lend(&mut self, now: Duration, pool: &VmId) -> Option<(f64, Stamp)> {
-        if self.part <= 0.0 || now < self.idle_until {
+        if self.part <= 0.0 || self.is_idle(now) {
             return None;
         }
         if self.loan.as_ref().is_some_and(|l| l.pool != *pool && l.over > now) {
@@ -149,14 +146,30 @@
         Some((self.part, *stamp))
     }
 
-    /// Takes in a pool's stamp. From here on the part counts as lent.
-    pub fn lent(&mut self, now: Duration, pool: &VmId, stamp: Stamp) {
+    /// Takes in a pool's stamp. From here on the part counts as lent. True if it was not before.
+    pub fn lent(&mut self, now: Duration, pool: &VmId, stamp: Stamp) -> bool {
         // A loan under this stamp ends at the pool before `over`.
         let over = now + LOAN + LOAN_GUARD;
-        let other = self.loan.as_ref().is_some_and(|l| l.pool != *pool && l.over > now);
-        if !other {
-            self.loan = Some(Loan { pool: pool.clone(), over });
-            self.stamp = Some((pool.clone(), stamp));
+        let old = self.loan.as_ref().filter(|l| l.over > now);
+        if old.is_some_and(|l| l.pool != *pool) {
+            return false;
+        }
+        let new = old.is_none();
+        self.loan = Some(Loan { pool: pool.clone(), over });
+        self.stamp = Some((pool.clone(), stamp));
+        new
+    }
+
+    /// Learns from the pool that no earlier life of this VM has lent it anything.
+    pub fn unlent(&mut self) {
+        self.unsure_until = Duration::ZERO;
+    }
+
+    /// Learns that `pool` uses no loan any more.
+    pub fn returned(&mut self, pool: &VmId) {
+        if self.loan.as_ref().is_some_and(|l| l.pool == *pool) {
+            self.loan = None;
+            self.stamp = None;
         }
     }
 
@@ -170,7 +183,11 @@
     /// The part that this VM itself may use now.
     fn floor(&self, now: Duration) -> f64 {
         let lent = self.loan.as_ref().is_some_and(|l| l.over > now);
-        if lent || now < self.idle_until { 0.0 } else { self.part }
+        if lent || self.is_idle(now) { 0.0 } else { self.part }
+    }
+
+    fn is_idle(&self, now: Duration) -> bool {
+        now < self.idle_until.max(self.unsure_until)
     }
 }
 
--- a/src/steer/targets.rs
+++ b/src/steer/targets.rs
@@ -24,6 +24,8 @@
 const REPORT_LIFE: Duration = Duration::from_millis(2_000);
 /// Requests by which an object's second target must be less loaded to be used.
 const SPILL_GAIN: f64 = 1.0;
+/// How fast the estimate of a target's running time follows what is seen.
+const PACE_GAIN: f64 = 0.2;
 /// Part of a cold target's rate that is used.
 const COLD_USED: f64 = 0.8;
 
@@ -93,6 +95,8 @@
     others: f64,
     /// When it made the report.
     reported: Duration,
+    /// Time for which a request runs there, smoothed, in seconds; 0 while unknown.
+    pace: f64,
     /// Set when the store has lost the entry at a time when it can't be believed.
     lapsed: Option<Duration>,
 }
@@ -105,6 +109,17 @@
         f64::from(self.running) + self.others * trust
     }
 
+    /// Requests that one more would wait for, for each slot.
+    fn queue(&self, now: Duration) -> f64 {
+        let slots = f64::from(self.entry.slots.max(1));
+        ((self.load(now) + 1.0 - slots) / slots).max(0.0)
+    }
+
+    /// Time until the answer to one more request, in seconds.
+    fn expected(&self, now: Duration) -> f64 {
+        self.pace * (1.0 + self.queue(now))
+    }
+
     /// Requests for each slot.
     fn fill(&self, now: Duration) -> f64 {
         self.load(now) / f64::from(self.entry.slots.max(1))
@@ -126,10 +141,23 @@
     pub avoid: &'a [TargetId],
     /// Requests a second that a cold target of the service bears.
     pub cold_rate: f64,
+    /// Time until the answer is due.
+    pub left: Duration,
+}
+
+/// What the choice among targets came to.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Picked {
+    /// A target.
+    Target(Pick),
+    /// All would answer too late; the first of them by this much.
+    Busy(Duration),
+    /// No target may take the request.
+    Nothing,
 }
 
 /// A chosen target.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Pick {
     /// The target.
     pub id: TargetId,
@@ -137,6 +165,8 @@
     pub addr: SocketAddr,
     /// Its region.
     pub region: RegionId,
+    /// Requests before this one for each slot, beyond those that run.
+    pub queue: f64,
 }
 
 /// All targets known.
@@ -190,6 +220,7 @@
                     running: 0,
                     others: 0.0,
                     reported: Duration::ZERO,
+                    pace: 0.0,
                     lapsed: None,
                 };
                 self.targets.insert(id, known);
@@ -229,7 +260,7 @@
 
     /// Chooses a target: the first in the object's order that is usable, or the second if the
     /// first has no free slot and more to do.
-    pub fn pick(&mut self, now: Duration, choice: &Choice<'_>) -> Option<Pick> {
+    pub fn pick(&mut self, now: Duration, choice: &Choice<'_>) -> Picked {
         let usable = self
             .targets
             .iter()
@@ -248,12 +279,25 @@
             }
         }
         let chosen = match (first, second) {
-            (Some((_, _, a)), Some((_, id, b))) if spills(now, a, b) => Some(id),
-            (first, _) => first.map(|(_, id, _)| id),
+            (Some((_, _, a)), Some((_, id, b))) if spills(now, a, b) => Some((id, b)),
+            (first, _) => first.map(|(_, id, k)| (id, k)),
         };
-        let id = chosen.cloned().or_else(|| self.pick_cold(now, choice))?;
-        let known = self.targets.get(&id)?;
-        Some(Pick { id, addr: known.entry.addr, region: known.region.clone() })
+        if let Some((_, known)) = chosen {
+            let late = known.expected(now) - choice.left.as_secs_f64();
+            if late > 0.0 {
+                return Picked::Busy(Duration::from_secs_f64(late));
+            }
+        }
+        let id = chosen.map(|(id, _)| id.clone()).or_else(|| self.pick_cold(now, choice));
+        let Some((id, known)) = id.and_then(|id| self.targets.get_key_value(&id)) else {
+            return Picked::Nothing;
+        };
+        Picked::Target(Pick {
+            id: id.clone(),
+            addr: known.entry.addr,
+            region: known.region.clone(),
+            queue: known.queue(now),
+        })
     }
 
     /// Chooses a cold target if nothing else is there; one entry VM paces them.
@@ -303,6 +347,14 @@
         }
     }
 
+    /// Learns how long a target took to answer a request.
+    pub fn took(&mut self, pick: &Pick, took: Duration) {
+        if let Some(known) = self.targets.get_mut(&pick.id) {
+            let run = took.as_secs_f64() / (1.0 + pick.queue);
+            known.pace += if known.pace == 0.0 { run } else { (run - known.pace) * PACE_GAIN };
+        }
+    }
+
     /// Learns that a target can't be reached or broke off.
     pub fn failed(&mut self, now: Duration, id: &TargetId) {
         if let Some(known) = self.targets.get_mut(id) {
