--- a/src/front/ingress.rs
+++ b/src/front/ingress.rs
@@ -27,6 +27,10 @@
 const HELD_BODY: usize = 64 << 10;
 /// Age of the keys is kept below the bound by this much; watches may hear of a change late.
 const REVOKE_MARGIN: Duration = Duration::from_millis(1_300);
+/// Longest wait for the first configuration.
+const TABLE_WAIT: Duration = Duration::from_millis(450);
+/// Pause between looks for the first configuration.
+const TABLE_LOOK: Duration = Duration::from_millis(20);
 /// When to come back after a refusal for want of room or knowledge.
 const RETRY_SOON: Duration = Duration::from_millis(400);
 /// When to come back after a refusal for the rate.
@@ -172,7 +176,7 @@
     if front.is_closed() {
         return Err(Refused::not_run("stopping", "this VM is about to stop"));
     }
-    let index = front.known.index();
+    let index = await_index(front).await;
     let index = index.ok_or_else(|| Refused::not_run("no-table", "no configuration is known"))?;
     let host = text(&HOST).or_else(|| head.uri.host());
     let host =
@@ -240,6 +244,18 @@
     }
 }
 
+/// The configuration; a process that has just started waits a little for it.
+async fn await_index(front: &Front) -> Option<Arc<Index>> {
+    let until = clock::now() + TABLE_WAIT;
+    loop {
+        let index = front.known.index();
+        if index.is_some() || clock::now() >= until {
+            return index;
+        }
+        tokio::time::sleep(TABLE_LOOK).await;
+    }
+}
+
 /// The key that a caller shows.
 fn key_of<'a>(front: &Front, headers: &'a HeaderMap) -> Option<&'a str> {
     let value = headers.get(AUTHORIZATION)?.to_str().ok()?;
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -20,6 +20,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
 
 use http::HeaderName;
 use tokio::sync::Notify;
@@ -50,6 +51,8 @@
     pub(crate) sessions: Sessions,
     pub(crate) decisions: Decisions,
     pub(crate) metrics: FrontMetrics,
+    /// When the process started.
+    pub(crate) started: Duration,
     /// Set once a planned stop has begun.
     leaving: AtomicBool,
     /// Set when requests are no longer taken on.
--- a/src/front/news.rs
+++ b/src/front/news.rs
@@ -26,6 +26,8 @@
 const MEMBER_AGE: Duration = Duration::from_millis(1_500);
 /// Age of the configuration from which on a VM reads the store itself.
 const READ_AGE: Duration = Duration::from_millis(2_000);
+/// Time after a start at which a VM that knows no configuration reads the store itself.
+const START_AGE: Duration = Duration::from_millis(500);
 /// Age of the configuration from which on VMs of other zones are asked.
 const FAR_AGE: Duration = Duration::from_millis(2_300);
 /// Time between two questions to another zone of the region.
@@ -86,9 +88,15 @@
 fn reads(front: &Front) -> bool {
     let now = clock::now();
     let parts = front.known.parts();
+    if parts.fleet.source(now).is_none_or(|vm| vm == front.me.vm) {
+        return true;
+    }
+    // Where others are known, a new process asks them first.
     let age = parts.feeds[Feed::Table as usize].age(now);
-    age.is_none_or(|age| age > READ_AGE)
-        || parts.fleet.source(now).is_none_or(|vm| vm == front.me.vm)
+    match age {
+        Some(age) => age > READ_AGE,
+        None => now.saturating_sub(front.started) > START_AGE,
+    }
 }
 
 /// Reads one feed of the store while nobody nearer does.
--- a/src/front/rates.rs
+++ b/src/front/rates.rs
@@ -29,6 +29,10 @@
 const HEAD_WAIT: Duration = Duration::from_millis(200);
 /// Longest time for which a request waits for a token.
 const TOKEN_WAIT: Duration = Duration::from_millis(260);
+/// Time after a start in which the first tokens are still on their way.
+const START_TIME: Duration = Duration::from_millis(1_500);
+/// Longest time for which a request waits for a token meanwhile.
+const START_WAIT: Duration = Duration::from_millis(700);
 
 /// Starts the tasks that lend and draw.
 pub(crate) fn start(front: &Arc<Front>) {
@@ -194,7 +198,9 @@
 
 /// Takes a token of `customer`, waiting a little if there is none at hand.
 pub(crate) async fn take(front: &Front, customer: &Customer) -> bool {
-    let until = clock::now() + TOKEN_WAIT;
+    let start = clock::now();
+    let young = start.saturating_sub(front.started) < START_TIME;
+    let until = start + if young { START_WAIT } else { TOKEN_WAIT };
     let mut first = true;
     loop {
         let filled = front.filled.notified();
--- a/src/front/run.rs
+++ b/src/front/run.rs
@@ -80,6 +80,7 @@
             sessions: Sessions::new(dialer),
             decisions: Decisions::start(config.log.lines),
             metrics: FrontMetrics::new(),
+            started: now,
             leaving: AtomicBool::new(false),
             closed: AtomicBool::new(false),
             active: AtomicU64::new(0),
--- a/src/steer/pool.rs
+++ b/src/steer/pool.rs
@@ -15,6 +15,9 @@
 /// Time after which a member's word on its tokens is forgotten.
 const WORD: Duration = Duration::from_millis(2_500);
 
+/// Tokens of a new pool, as time at the rate: nobody has granted any for at least as long.
+const START_STOCK: Duration = Duration::from_millis(250);
+
 /// What a member asks for one customer.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Want {
@@ -129,7 +132,10 @@
         self.loans.retain(|_, l| l.until > now);
         self.accounts.retain(|id, _| table.customers.iter().any(|c| &c.id == id));
         for customer in table.customers.iter().filter(|c| c.rate > 0.0) {
-            let account = self.accounts.entry(customer.id.clone()).or_default();
+            let first = customer.rate * part * START_STOCK.as_secs_f64();
+            let account = self.accounts.entry(customer.id.clone());
+            let account =
+                account.or_insert_with(|| Account { tokens: first, ..Account::default() });
             account.members.retain(|_, w| now.saturating_sub(w.at) < WORD);
             let held: f64 = account.members.values().map(|w| w.held).sum();
             let cap = (customer.burst * part + self.extra - held).max(0.0);
