--- a/src/front/rates.rs
+++ b/src/front/rates.rs
@@ -72,7 +72,7 @@
         let loan = loan.map(|(part, (_, stamp))| (part, stamp));
         let (stamp, grants) = front.draw_here(&pool, loan, &wants);
         // This life lends to itself, and an earlier one's loans have gone with it.
-        front.known.parts().purse.unlent();
+        front.known.parts().purse.unlent(clock::now());
         front.take_grants(&pool, (front.me.incarnation, stamp), &grants);
         return;
     }
@@ -88,13 +88,13 @@
             if drawn.leaving {
                 let mut parts = front.known.parts();
                 parts.fleet.leaves(clock::now(), &pool);
-                parts.purse.returned(&pool);
+                parts.purse.returned(clock::now(), &pool);
                 front.zone_thirsty.notify_one();
                 return;
             }
             front.known.parts().fleet.answered(&pool);
             if !drawn.lent {
-                front.known.parts().purse.unlent();
+                front.known.parts().purse.unlent(clock::now());
             }
             let stamp = (drawn.life, Duration::from_micros(drawn.stamp_us));
             front.take_grants(&pool, stamp, &grants);
--- a/src/steer/purse.rs
+++ b/src/steer/purse.rs
@@ -35,6 +35,8 @@
     /// The part is not used before this time: an earlier life of this VM may have lent it.
     unsure_until: Duration,
     loan: Option<Loan>,
+    /// When the last loan was given back.
+    returned_at: Duration,
     /// The pool's life and time that it last sent, to be sent back with the next loan.
     stamp: Option<(VmId, Stamp)>,
     accounts: BTreeMap<CustomerId, Account>,
@@ -70,7 +72,8 @@
     pub fn new(now: Duration, ahead: Duration, spare: f64) -> Self {
         let (loan, stamp, accounts) = Default::default();
         let (idle_until, unsure_until) = (now, now + LOAN + LOAN_GUARD);
-        Self { part: 0.0, idle_until, unsure_until, loan, stamp, accounts, ahead, spare }
+        let (part, returned_at) = (0.0, Duration::ZERO);
+        Self { part, idle_until, unsure_until, loan, returned_at, stamp, accounts, ahead, spare }
     }
 
     /// Learns this VM's part of every sum.
@@ -161,13 +164,14 @@
     }
 
     /// Learns from the pool that no earlier life of this VM has lent it anything.
-    pub fn unlent(&mut self) {
-        self.unsure_until = Duration::ZERO;
+    pub fn unlent(&mut self, now: Duration) {
+        self.unsure_until = self.unsure_until.min(now);
     }
 
     /// Learns that `pool` uses no loan any more.
-    pub fn returned(&mut self, pool: &VmId) {
+    pub fn returned(&mut self, now: Duration, pool: &VmId) {
         if self.loan.as_ref().is_some_and(|l| l.pool == *pool) {
+            self.returned_at = now;
             self.loan = None;
             self.stamp = None;
         }
@@ -180,10 +184,11 @@
         }
     }
 
-    /// The part that this VM itself may use now.
-    fn floor(&self, now: Duration) -> f64 {
-        let lent = self.loan.as_ref().is_some_and(|l| l.over > now);
-        if lent || self.is_idle(now) { 0.0 } else { self.part }
+    /// The part that this VM itself may use now, and since when.
+    fn floor(&self, now: Duration) -> Floor {
+        let lent = self.loan.as_ref().map_or(Duration::ZERO, |l| l.over);
+        let since = lent.max(self.idle_until).max(self.unsure_until).max(self.returned_at);
+        Floor { part: if since > now { 0.0 } else { self.part }, since }
     }
 
     fn is_idle(&self, now: Duration) -> bool {
@@ -191,14 +196,22 @@
     }
 }
 
+/// A part that a VM uses itself.
+#[derive(Clone, Copy, Debug)]
+struct Floor {
+    part: f64,
+    since: Duration,
+}
+
 impl Account {
-    fn refill(&mut self, now: Duration, customer: &Customer, floor: f64) {
+    fn refill(&mut self, now: Duration, customer: &Customer, floor: Floor) {
         let passed = now.saturating_sub(self.at);
         self.demand *= (-passed.as_secs_f64() / SMOOTH.as_secs_f64()).exp();
-        if floor > 0.0 {
+        if floor.part > 0.0 {
             // Less than a whole token would serve nobody.
-            let cap = (customer.burst * floor).max(1.0).max(self.tokens);
-            let gain = customer.rate * floor * passed.min(LOAN).as_secs_f64();
+            let cap = (customer.burst * floor.part).max(1.0).max(self.tokens);
+            let owned = now.saturating_sub(self.at.max(floor.since)).as_secs_f64();
+            let gain = customer.rate * floor.part * owned;
             self.tokens = (self.tokens + gain).min(cap);
         }
         self.tokens = self.tokens.min(customer.burst);
--- /dev/null
+++ b/tests/steer_targets.rs
@@ -0,0 +1,237 @@
+//! The choice of targets: stable for an object, never to one that may not be used, paced while cold.
+
+use std::collections::{BTreeSet, HashMap};
+use std::time::Duration;
+
+use shallotstall::model::{RegionId, ServiceId, TargetId, ZoneId};
+use shallotstall::steer::{
+    Choice, Picked, Sight, TargetBook, TargetEntry, TargetState, fingerprint,
+};
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn entry(number: u16, zone: &str) -> TargetEntry {
+    TargetEntry {
+        service: "rota".into(),
+        addr: ([10, 0, 0, 1], number).into(),
+        zone: zone.into(),
+        slots: 6,
+        state: TargetState::Ready,
+        cold_ms: 0,
+        born_ms: 1,
+    }
+}
+
+/// A book of `count` targets in two regions.
+fn book(count: u16) -> TargetBook {
+    let regions = [("a", "north"), ("b", "north"), ("c", "south")];
+    let regions: HashMap<ZoneId, RegionId> =
+        regions.iter().map(|(z, r)| ((*z).into(), (*r).into())).collect();
+    let mut book = TargetBook::new(regions);
+    for i in 0..count {
+        let zone = ["a", "b", "c"][usize::from(i) % 3];
+        book.put(ms(0), id(i), entry(i, zone));
+    }
+    book
+}
+
+fn id(number: u16) -> TargetId {
+    TargetId::new(format!("t-{number}"))
+}
+
+struct Ask {
+    service: ServiceId,
+    region: RegionId,
+    homes: Option<Vec<RegionId>>,
+    avoid: Vec<TargetId>,
+    cold_rate: f64,
+    left: Duration,
+}
+
+impl Default for Ask {
+    fn default() -> Self {
+        Self {
+            service: "rota".into(),
+            region: "north".into(),
+            homes: None,
+            avoid: Vec::new(),
+            cold_rate: 5.0,
+            left: ms(2_000),
+        }
+    }
+}
+
+impl Ask {
+    fn pick(&self, book: &mut TargetBook, now: Duration, object: &str) -> Option<TargetId> {
+        match self.picked(book, now, object) {
+            Picked::Target(pick) => Some(pick.id),
+            Picked::Busy(_) | Picked::Nothing => None,
+        }
+    }
+
+    fn picked(&self, book: &mut TargetBook, now: Duration, object: &str) -> Picked {
+        let choice = Choice {
+            service: &self.service,
+            object: fingerprint(object.as_bytes()),
+            region: &self.region,
+            homes: self.homes.as_deref(),
+            avoid: &self.avoid,
+            cold_rate: self.cold_rate,
+            left: self.left,
+        };
+        book.pick(now, &choice)
+    }
+}
+
+fn homes_of(book: &mut TargetBook, now: Duration) -> Vec<Option<TargetId>> {
+    (0..300).map(|o| Ask::default().pick(book, now, &format!("o{o}"))).collect()
+}
+
+#[test]
+fn a_leaving_target_moves_only_its_own_objects() {
+    let mut book = book(12);
+    let before = homes_of(&mut book, ms(10));
+    book.put(ms(20), id(4), TargetEntry { state: TargetState::Draining, ..entry(4, "b") });
+    let after = homes_of(&mut book, ms(30));
+    for (old, new) in before.iter().zip(&after) {
+        assert_ne!(new.as_ref(), Some(&id(4)));
+        assert!(old == new || old.as_ref() == Some(&id(4)), "{old:?} moved to {new:?}");
+    }
+}
+
+#[test]
+fn a_new_target_takes_objects_from_others_only_for_itself() {
+    let mut book = book(12);
+    let before = homes_of(&mut book, ms(10));
+    book.put(ms(20), id(12), entry(12, "a"));
+    let after = homes_of(&mut book, ms(30));
+    let moved: Vec<_> = before.iter().zip(&after).filter(|(old, new)| old != new).collect();
+    assert!(!moved.is_empty());
+    assert!(moved.iter().all(|(_, new)| new.as_ref() == Some(&id(12))));
+}
+
+#[test]
+fn near_targets_serve_most_objects() {
+    let mut book = book(12);
+    let far = |t: &TargetId| t.as_str()[2..].parse::<u16>().expect("a number") % 3 == 2;
+    let count = homes_of(&mut book, ms(10)).iter().flatten().filter(|t| far(t)).count();
+    // A third of the targets are far; without a preference they would serve 100 of 300.
+    assert!((10..80).contains(&count), "{count} of 300 objects are served far away");
+}
+
+#[test]
+fn homes_evacuations_and_services_bind() {
+    let mut book = book(12);
+    let homed = Ask { homes: Some(vec!["south".into()]), ..Ask::default() };
+    for o in 0..50 {
+        let target = homed.pick(&mut book, ms(10), &format!("o{o}")).expect("a target");
+        assert_eq!(book.entry(&target).expect("an entry").zone, "c".into());
+    }
+    book.evacuate(ms(20), BTreeSet::from(["c".into()]));
+    assert_eq!(homed.picked(&mut book, ms(30), "o1"), Picked::Nothing);
+    let other = Ask { service: "swaps".into(), ..Ask::default() };
+    assert_eq!(other.picked(&mut book, ms(30), "o1"), Picked::Nothing);
+    // The targets of a zone that is taken back may be cold: each is probed first.
+    book.evacuate(ms(40), BTreeSet::new());
+    assert_eq!(homed.picked(&mut book, ms(50), "o1"), Picked::Nothing);
+    let due = book.due_probes(ms(50));
+    assert_eq!(due.len(), 4);
+    for (target, ..) in due {
+        book.probed(ms(60), &target, Some(Duration::ZERO));
+    }
+    assert!(homed.pick(&mut book, ms(70), "o1").is_some());
+}
+
+#[test]
+fn a_target_that_failed_takes_requests_after_a_good_probe() {
+    let mut book = book(1);
+    let ask = Ask::default();
+    book.failed(ms(10), &id(0));
+    assert_eq!(ask.picked(&mut book, ms(20), "o"), Picked::Nothing);
+    assert!(book.due_probes(ms(20)).is_empty(), "not at once");
+    assert_eq!(book.due_probes(ms(400)).len(), 1);
+    assert!(book.due_probes(ms(410)).is_empty(), "one at a time");
+    book.probed(ms(420), &id(0), None);
+    assert_eq!(ask.picked(&mut book, ms(430), "o"), Picked::Nothing);
+    assert_eq!(book.due_probes(ms(3_000)).len(), 1);
+    // It has started again and is cold for a second.
+    book.probed(ms(3_010), &id(0), Some(ms(1_000)));
+    assert_eq!(book.sight(&id(0)), Some(Sight::Trusted));
+    assert_eq!(ask.picked(&mut book, ms(3_500), "o"), Picked::Nothing, "another VM paces it");
+    assert!(ask.pick(&mut book, ms(5_000), "o").is_some());
+}
+
+#[test]
+fn cold_targets_are_paced_by_one_vm() {
+    let mut book = book(1);
+    book.put(ms(0), id(0), TargetEntry { cold_ms: 60_000, ..entry(0, "a") });
+    let ask = Ask::default();
+    assert_eq!(ask.picked(&mut book, ms(10), "o"), Picked::Nothing);
+    book.own_cold(BTreeSet::from(["a".into()]));
+    let sent = (0..1_000).filter(|i| ask.pick(&mut book, ms(1_000 + i), "o").is_some()).count();
+    assert!((1..=5).contains(&sent), "{sent} in a second, 5 allowed");
+    let never = Ask { cold_rate: 0.0, ..Ask::default() };
+    assert_eq!(never.picked(&mut book, ms(60_000), "o"), Picked::Nothing);
+}
+
+#[test]
+fn a_target_that_says_that_it_is_cold_again_is_believed() {
+    let mut book = book(1);
+    let ask = Ask::default();
+    assert!(ask.pick(&mut book, ms(10), "o").is_some());
+    book.put(ms(20), id(0), TargetEntry { cold_ms: 3_000, born_ms: 2, ..entry(0, "a") });
+    assert_eq!(ask.picked(&mut book, ms(30), "o"), Picked::Nothing);
+    assert!(ask.pick(&mut book, ms(3_500), "o").is_some());
+}
+
+#[test]
+fn another_process_at_the_address_ends_the_use_of_a_target() {
+    let mut book = book(1);
+    let ask = Ask::default();
+    book.replaced(&id(0));
+    assert_eq!(ask.picked(&mut book, ms(10), "o"), Picked::Nothing);
+    assert!(book.due_probes(ms(10_000)).is_empty());
+    book.put(ms(10_010), id(0), TargetEntry { born_ms: 5, ..entry(9, "a") });
+    assert!(ask.pick(&mut book, ms(10_020), "o").is_some());
+}
+
+#[test]
+fn entries_that_the_store_may_have_lost_are_kept_for_a_while() {
+    let mut book = book(2);
+    book.gone(ms(10), &id(0), false);
+    book.gone(ms(10), &id(1), true);
+    assert!(book.entry(&id(0)).is_some());
+    assert!(book.entry(&id(1)).is_none());
+    book.expire(ms(1_000));
+    assert!(book.entry(&id(0)).is_some());
+    book.expire(ms(2_500));
+    assert!(book.entry(&id(0)).is_none(), "still missing: it is gone");
+}
+
+#[test]
+fn a_full_first_target_spills_to_one_second_target() {
+    let mut book = book(12);
+    let ask = Ask::default();
+    let first = ask.pick(&mut book, ms(10), "o").expect("a target");
+    book.reported(ms(20), &first, 5);
+    assert_eq!(ask.pick(&mut book, ms(30), "o"), Some(first.clone()), "a slot is free");
+    book.reported(ms(40), &first, 12);
+    let second = ask.pick(&mut book, ms(50), "o").expect("a target");
+    assert_ne!(first, second);
+    book.reported(ms(60), &second, 20);
+    assert_eq!(ask.pick(&mut book, ms(70), "o"), Some(first), "never to a third");
+}
+
+#[test]
+fn a_request_that_would_be_answered_too_late_is_refused() {
+    let mut book = book(1);
+    let ask = Ask { left: ms(1_500), ..Ask::default() };
+    let Picked::Target(pick) = ask.picked(&mut book, ms(10), "o") else { panic!("a target") };
+    book.took(&pick, ms(800));
+    assert!(ask.pick(&mut book, ms(20), "o").is_some());
+    book.reported(ms(30), &id(0), 24);
+    assert!(matches!(ask.picked(&mut book, ms(40), "o"), Picked::Busy(_)));
+    assert!(ask.pick(&mut book, ms(2_500), "o").is_some(), "an old report counts for nothing");
+}
