--- a/src/front/attempt.rs
+++ b/src/front/attempt.rs
@@ -389,10 +389,10 @@
             return Poll::Ready(Some(Ok(Frame::data(bytes))));
         }
         let frame = ready!(Pin::new(&mut self.rest).poll_frame(cx));
-        if frame.is_none() {
-            if let Some(lease) = self.lease.take() {
-                lease.give_back();
-            }
+        if frame.is_none()
+            && let Some(lease) = self.lease.take()
+        {
+            lease.give_back();
         }
         Poll::Ready(frame)
     }
--- a/src/steer/replica.rs
+++ b/src/steer/replica.rs
@@ -167,10 +167,10 @@
         }
         self.items.remove(name);
         self.gone.push_back((revision, name.to_owned()));
-        if self.gone.len() > GONE_MAX {
-            if let Some((revision, _)) = self.gone.pop_front() {
-                self.since = self.since.max(revision);
-            }
+        if self.gone.len() > GONE_MAX
+            && let Some((revision, _)) = self.gone.pop_front()
+        {
+            self.since = self.since.max(revision);
         }
         news.push(name.to_owned());
     }
--- a/src/steer/targets.rs
+++ b/src/steer/targets.rs
@@ -357,10 +357,10 @@
 
     /// Learns that a target can't be reached or broke off.
     pub fn failed(&mut self, now: Duration, id: &TargetId) {
-        if let Some(known) = self.targets.get_mut(id) {
-            if known.sight == Sight::Trusted {
-                known.sight = Sight::Unproven { due: now + PROBE_PAUSE, failures: 0 };
-            }
+        if let Some(known) = self.targets.get_mut(id)
+            && known.sight == Sight::Trusted
+        {
+            known.sight = Sight::Unproven { due: now + PROBE_PAUSE, failures: 0 };
         }
     }
 
--- /dev/null
+++ b/tests/steer_knowledge.rs
@@ -0,0 +1,299 @@
+//! What fronts know: copies of feeds that never go back, the table's rules, whom to ask and name.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use proptest::prelude::*;
+use shallotstall::model::{CustomerId, Place, RegionId, VmId, ZoneId};
+use shallotstall::steer::{
+    Access, Bounds, Customer, Delta, Fleet, Heard, Index, Item, Part, Replica, Retries,
+    RetryBounds, Route, Table, VmEntry, key_digest,
+};
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn item(name: &str, revision: u64, body: Option<&str>) -> Item {
+    let body = body.map(|b| Bytes::from(b.to_owned()));
+    Item { name: name.to_owned(), revision, body }
+}
+
+fn held(replica: &Replica) -> BTreeMap<String, Bytes> {
+    replica.items().map(|(name, body)| (name.to_owned(), body.clone())).collect()
+}
+
+#[test]
+fn an_older_state_is_never_taken() {
+    let mut replica = Replica::default();
+    let full = Delta { full: true, mark: 10, items: vec![item("a", 9, Some("new"))] };
+    replica.apply(full, ms(100));
+    let stale = Delta { full: true, mark: 5, items: vec![item("a", 4, Some("old"))] };
+    assert!(replica.apply(stale, ms(200)).is_empty());
+    let late = Delta { full: false, mark: 6, items: vec![item("a", 6, None)] };
+    assert!(replica.apply(late, ms(300)).is_empty());
+    assert_eq!(held(&replica).len(), 1);
+    assert_eq!(replica.mark(), 10);
+    assert_eq!(replica.age(ms(400)), Some(ms(300)), "older states say nothing of freshness");
+}
+
+#[test]
+fn what_a_full_state_leaves_out_is_gone() {
+    let mut replica = Replica::default();
+    let items = vec![item("a", 1, Some("x")), item("b", 2, Some("y"))];
+    replica.apply(Delta { full: true, mark: 2, items }, ms(0));
+    let next = Delta { full: true, mark: 7, items: vec![item("b", 2, Some("y"))] };
+    assert_eq!(replica.apply(next, ms(10)), ["a"]);
+    // A peer that was at revision 2 learns of it.
+    let delta = replica.delta(2);
+    assert!(!delta.full);
+    assert_eq!(delta.items, [item("a", 7, None)]);
+}
+
+/// A change of the store: one of a few names, put or removed.
+fn change() -> impl Strategy<Value = (u8, bool)> {
+    (0..5u8, any::<bool>())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        ..ProptestConfig::default() })]
+
+    /// A chain of copies, each fed by the one before it at odd moments, ends with what the store
+    /// holds.
+    #[test]
+    fn copies_of_copies_agree_with_the_store(
+        steps in prop::collection::vec((change(), 0..4u8), 1..60),
+    ) {
+        let mut store: BTreeMap<String, (u64, Bytes)> = BTreeMap::new();
+        let mut revision = 0;
+        let (mut first, mut second) = (Replica::default(), Replica::default());
+        let mut events: Vec<Item> = Vec::new();
+        for ((name, put), sync) in steps {
+            revision += 1;
+            let name = format!("n{name}");
+            if put {
+                let body = Bytes::from(revision.to_string());
+                store.insert(name.clone(), (revision, body.clone()));
+                events.push(Item { name, revision, body: Some(body) });
+            } else if store.remove(&name).is_some() {
+                events.push(Item { name, revision, body: None });
+            }
+            if sync & 1 > 0 {
+                let mark = first.mark();
+                let items = events.iter().filter(|i| i.revision > mark).cloned().collect();
+                first.apply(Delta { full: false, mark: revision, items }, ms(revision));
+            }
+            if sync & 2 > 0 {
+                let delta = first.delta(second.mark());
+                second.apply(delta, ms(revision));
+            }
+        }
+        let mark = first.mark();
+        let items = events.iter().filter(|i| i.revision > mark).cloned().collect();
+        first.apply(Delta { full: false, mark: revision, items }, ms(revision));
+        second.apply(first.delta(second.mark()), ms(revision));
+        let wanted: BTreeMap<String, Bytes> =
+            store.into_iter().map(|(name, (_, body))| (name, body)).collect();
+        prop_assert_eq!(&held(&first), &wanted);
+        prop_assert_eq!(&held(&second), &wanted);
+    }
+}
+
+fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: host.to_owned(),
+        prefix: prefix.to_owned(),
+        idempotent: true,
+        timeout_ms: 1_000,
+        aim_ms: 500,
+        priority: 0,
+        parts: vec![Part { service: "s".into(), weight: 1.0 }],
+        attempts: 2,
+        open: false,
+        sticky: true,
+        homes: Vec::new(),
+    }
+}
+
+fn index() -> Index {
+    let customer = |name: &str, key: &str, homes: &[&str]| Customer {
+        id: CustomerId::new(name),
+        keys: vec![key_digest(key)],
+        priority: 0,
+        rate: 0.0,
+        burst: 0.0,
+        homes: homes.iter().map(|h| RegionId::new(*h)).collect(),
+    };
+    Index::new(Table {
+        version: 3,
+        routes: vec![
+            route("short", "zoo.example", "/a/"),
+            route("long", "zoo.example", "/a/b/"),
+            Route { homes: vec!["r".into(), "s".into()], ..route("homed", "zoo.example", "/h/") },
+            Route { open: true, ..route("open", "farm.example", "/") },
+        ],
+        services: Vec::new(),
+        customers: vec![customer("owls", "k1", &[]), customer("bears", "k2", &["s", "t"])],
+        bounds: Bounds::default(),
+    })
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_is_taken() {
+    let index = index();
+    let cases = [
+        ("zoo.example", "/a/x", Some("short")),
+        ("zoo.example", "/a/b/x", Some("long")),
+        ("zoo.example", "/a/bx", Some("short")),
+        ("ZOO.example:8080", "/a/b/", Some("long")),
+        ("zoo.example", "/a", None),
+        ("zoo.example", "/", None),
+        ("farm.example", "/anything", Some("open")),
+        ("other.example", "/a/x", None),
+    ];
+    for (host, path, wanted) in cases {
+        let found = index.route(host, path).map(|m| m.route.name.as_str());
+        assert_eq!(found, wanted, "{host}{path}");
+    }
+}
+
+#[test]
+fn keys_and_homes_bind() {
+    let index = index();
+    let short = index.route("zoo.example", "/a/").expect("a route").route;
+    let homed = index.route("zoo.example", "/h/").expect("a route").route;
+    let open = index.route("farm.example", "/").expect("a route").route;
+    assert_eq!(index.access(short, None), Access::Denied);
+    assert_eq!(index.access(short, Some("k3")), Access::Denied);
+    assert_eq!(index.access(open, Some("k3")), Access::Open);
+    let owls = index.access(short, Some("k1"));
+    let bears = index.access(short, Some("k2"));
+    assert!(matches!(owls, Access::Customer(c) if c.id.as_str() == "owls"));
+    assert_eq!(index.homes(short, owls), None);
+    assert_eq!(index.homes(homed, owls), Some(vec!["r".into(), "s".into()]));
+    assert_eq!(index.homes(short, bears), Some(vec!["s".into(), "t".into()]));
+    assert_eq!(index.homes(homed, bears), Some(vec!["s".into()]), "both bind");
+}
+
+const ZONES: [(&str, &str); 4] = [("a", "r"), ("b", "r"), ("c", "s"), ("d", "s")];
+
+fn addr(number: u8) -> SocketAddr {
+    ([10, 0, 0, number], 80).into()
+}
+
+/// A fleet of 8 VMs in 4 zones as VM `me` sees it; the VMs of zone `a` are 0 and 4, and so on.
+fn fleet(me: u8) -> Fleet {
+    let place = |n: u8| {
+        let (zone, region) = ZONES[usize::from(n) % 4];
+        Place { region: region.into(), zone: zone.into() }
+    };
+    let regions = ZONES.iter().map(|(z, r)| (ZoneId::new(*z), RegionId::new(*r))).collect();
+    let mut fleet = Fleet::new(vm(me), place(me), regions);
+    for n in 0..8 {
+        let (peers, callers) = (addr(n + 100), addr(n));
+        fleet.put(vm(n), VmEntry { place: place(n), peers, callers, incarnation: 1 });
+    }
+    fleet
+}
+
+fn vm(number: u8) -> VmId {
+    VmId::new(format!("vm-{number}"))
+}
+
+fn heard(number: u8, serving: bool) -> Heard {
+    let zone = ZoneId::new(ZONES[usize::from(number) % 4].0);
+    Heard { vm: vm(number), zone, callers: addr(number), serving, age: Duration::ZERO }
+}
+
+/// The VM that reads the store for VM `me`, when `silent` do not answer.
+fn reader(me: u8, silent: &[u8]) -> VmId {
+    let mut at = me;
+    for _ in 0..4 {
+        let mut fleet = fleet(at);
+        silent.iter().filter(|n| **n != at).for_each(|n| fleet.unanswered(ms(0), &vm(*n)));
+        let source = fleet.source(ms(1)).expect("a source");
+        if source == vm(at) {
+            return source;
+        }
+        at = source.as_str()[3..].parse().expect("a number");
+    }
+    panic!("the way from vm-{me} to a reader is a circle");
+}
+
+#[test]
+fn every_vm_of_a_region_comes_to_one_reader_also_when_others_are_silent() {
+    for silent in [&[][..], &[0], &[1], &[4], &[5], &[0, 1], &[4, 5], &[0, 4], &[1, 5]] {
+        let asking: Vec<u8> = [0, 1, 4, 5].into_iter().filter(|n| !silent.contains(n)).collect();
+        let readers: Vec<VmId> = asking.iter().map(|n| reader(*n, silent)).collect();
+        assert!(readers.iter().all(|r| *r == readers[0]), "{silent:?}: {readers:?}");
+        assert!(silent.iter().all(|n| vm(*n) != readers[0]), "{silent:?}: {readers:?}");
+    }
+}
+
+#[test]
+fn a_silent_vm_is_asked_again_later() {
+    let mut fleet = fleet(7);
+    let first = fleet.pool(ms(0)).expect("a pool");
+    fleet.unanswered(ms(0), &first);
+    assert_ne!(fleet.pool(ms(1)), Some(first.clone()));
+    assert_eq!(fleet.pool(ms(5_000)), Some(first.clone()));
+    fleet.leaves(ms(5_000), &first);
+    assert_ne!(fleet.pool(ms(8_000)), Some(first), "it is stopping");
+}
+
+#[test]
+fn callers_are_sent_to_vms_that_live_and_serve() {
+    let mut fleet = fleet(0);
+    let zone = ZoneId::new("a");
+    assert_eq!(fleet.named(ms(0), &zone, Some(addr(0)), 64), [addr(0)]);
+    fleet.hear(ms(0), [heard(4, true), heard(1, true), heard(2, true)]);
+    assert_eq!(fleet.named(ms(10), &zone, Some(addr(0)), 64), [addr(0), addr(4)]);
+    fleet.hear(ms(100), [heard(4, false), heard(1, true), heard(2, true)]);
+    let near = fleet.named(ms(110), &zone, Some(addr(0)), 64);
+    assert_eq!(near, [addr(0), addr(1)], "the region, as one is too few");
+    let far = fleet.named(ms(110), &ZoneId::new("c"), None, 64);
+    assert_eq!(far, [addr(1), addr(2)], "all, as one is too few");
+    assert_eq!(fleet.named(ms(2_500), &zone, Some(addr(0)), 64), [addr(0)], "nobody was heard of");
+}
+
+#[test]
+fn one_vm_of_a_zone_paces_its_cold_targets() {
+    let pacing: Vec<u8> = [0, 4]
+        .into_iter()
+        .filter(|n| {
+            let mut fleet = fleet(*n);
+            fleet.hear(ms(0), [heard(0, true), heard(4, true), heard(1, true)]);
+            fleet.paces_cold(ms(1))
+        })
+        .collect();
+    assert_eq!(pacing.len(), 1);
+}
+
+#[test]
+fn repeats_stay_within_the_fleets_bound() {
+    let bounds = RetryBounds { ratio: 0.2, slack: 100.0, window: Duration::from_secs(10) };
+    let service = "s".into();
+    let vms = 20;
+    let mut total = 0;
+    let mut requests = 0;
+    for vm in 0..vms {
+        let mut retries = Retries::new(bounds);
+        retries.share(vms);
+        // Ten seconds, with all requests of this VM failing.
+        for step in 0..1_000u64 {
+            let now = ms(step * 10 + vm as u64);
+            if step % 4 == 0 {
+                retries.earn(now, &service);
+                requests += 1;
+            }
+            total += usize::from(retries.spend(now, &service));
+        }
+    }
+    let bound = 0.2 * f64::from(requests) + 100.0;
+    assert!(total as f64 <= bound, "{total} repeats, {bound} allowed");
+    assert!(total as f64 >= bound * 0.5, "{total} repeats of {bound} allowed: too few are used");
+}
