--- a/src/front/rates.rs
+++ b/src/front/rates.rs
@@ -150,7 +150,7 @@
             }
         }
     };
-    front.known.parts().purse.add(&grants);
+    front.known.parts().purse.add(clock::now(), &grants);
 }
 
 fn drawn(answer: Result<Body, PeerError>) -> Result<Drawn, String> {
@@ -205,13 +205,14 @@
     loop {
         let filled = front.filled.notified();
         let now = clock::now();
-        if front.known.parts().purse.spend(now, customer, first) == Spend::Taken {
+        let spend = front.known.parts().purse.spend(now, customer, first);
+        if spend == Spend::Taken {
             return true;
         }
         first = false;
         front.thirsty.notify_one();
         let left = until.saturating_sub(now);
-        if left.is_zero() || timeout(left, filled).await.is_err() {
+        if spend == Spend::Short || left.is_zero() || timeout(left, filled).await.is_err() {
             return false;
         }
     }
@@ -221,8 +222,9 @@
     /// Takes in the pool's answer.
     fn take_grants(&self, pool: &VmId, stamp: Stamp, grants: &[Grant]) {
         let mut parts = self.known.parts();
-        let new = parts.purse.lent(clock::now(), pool, stamp);
-        parts.zone_purse.add(grants);
+        let now = clock::now();
+        let new = parts.purse.lent(now, pool, stamp);
+        parts.zone_purse.add(now, grants);
         if new {
             // The part can be lent with the next call only, under the stamp that has just come.
             self.zone_thirsty.notify_one();
--- a/src/steer/purse.rs
+++ b/src/steer/purse.rs
@@ -13,6 +13,8 @@
 /// Time over which demand is smoothed.
 const SMOOTH: Duration = Duration::from_millis(1_000);
 
+/// Time for which a rate counts as used up after the pool has given too few tokens.
+const SHORT: Duration = Duration::from_millis(300);
 /// Fewer tokens are not worth an ask.
 const ASK_MIN: f64 = 0.3;
 
@@ -23,6 +25,8 @@
     Taken,
     /// There is none at hand; more may be had from the pool.
     Empty,
+    /// There is none at hand, and the pool has just given fewer than were asked for.
+    Short,
 }
 
 /// The tokens of one entry VM.
@@ -64,6 +68,10 @@
     at: Duration,
     /// Requests that found no token since the last ask.
     missed: f64,
+    /// Tokens asked for and not given yet.
+    asked: f64,
+    /// Until then, the rate counts as used up.
+    short_until: Duration,
 }
 
 impl Purse {
@@ -100,7 +108,7 @@
         if first {
             account.missed += 1.0;
         }
-        Spend::Empty
+        if now < account.short_until { Spend::Short } else { Spend::Empty }
     }
 
     /// Hands out at most `tokens` to another VM, and counts them as demand.
@@ -126,6 +134,7 @@
             let goal = account.demand * self.ahead.as_secs_f64() + account.missed + spare;
             account.missed = 0.0;
             let tokens = (goal.min(customer.burst) - account.tokens).max(0.0);
+            account.asked = tokens;
             if tokens >= ASK_MIN || account.tokens >= ASK_MIN {
                 let (customer, held) = (customer.id.clone(), account.tokens);
                 out.push(Want { customer, tokens, held });
@@ -177,10 +186,18 @@
         }
     }
 
-    /// Takes in tokens.
-    pub fn add(&mut self, grants: &[Grant]) {
+    /// Takes in the answer to the last ask.
+    pub fn add(&mut self, now: Duration, grants: &[Grant]) {
         for grant in grants {
-            self.accounts.entry(grant.customer.clone()).or_default().tokens += grant.tokens;
+            let account = self.accounts.entry(grant.customer.clone()).or_default();
+            account.tokens += grant.tokens;
+            account.asked -= grant.tokens;
+        }
+        for account in self.accounts.values_mut() {
+            if account.asked >= 1.0 && account.tokens < 1.0 {
+                account.short_until = now + SHORT;
+            }
+            account.asked = 0.0;
         }
     }
 
--- a/tests/steer_rates.rs
+++ b/tests/steer_rates.rs
@@ -186,7 +186,7 @@
                 vm.purse.unlent(now);
             }
             vm.purse.lent(now, &sender, stamp);
-            vm.purse.add(&grants);
+            vm.purse.add(now, &grants);
         }
     }
 }
@@ -298,3 +298,18 @@
     assert_eq!(purse.spend(ms(110), &customer, true), Spend::Empty);
     assert_eq!(purse.spend(ms(300), &customer, true), Spend::Taken);
 }
+
+#[test]
+fn a_rate_that_is_used_up_is_known_at_once() {
+    let mut purse = Purse::new(ms(0), ms(300), 0.0);
+    let customer = customer();
+    assert_eq!(purse.spend(ms(0), &customer, true), Spend::Empty, "the pool may have some");
+    assert!(!purse.wants(ms(10), &table()).is_empty());
+    purse.add(ms(20), &[]);
+    assert_eq!(purse.spend(ms(30), &customer, true), Spend::Short);
+    purse.wants(ms(40), &table());
+    purse.add(ms(50), &[Grant { customer: "zoo".into(), tokens: 2.0 }]);
+    assert_eq!(purse.spend(ms(60), &customer, true), Spend::Taken);
+    assert_eq!(purse.spend(ms(600), &customer, true), Spend::Taken);
+    assert_eq!(purse.spend(ms(600), &customer, true), Spend::Empty, "it is worth a wait again");
+}
