--- a/src/steer/targets.rs
+++ b/src/steer/targets.rs
@@ -19,7 +19,7 @@
 /// Time for which a target that the store has lost is kept after the store's return.
 const LAPSE: Duration = Duration::from_millis(2_300);
 /// How much larger a target of the own region counts when an object's targets are ranked.
-const NEAR_SIZE: f64 = 3.0;
+const NEAR_SIZE: f64 = 5.0;
 /// Time after which a target's report on its load counts for nothing.
 const REPORT_LIFE: Duration = Duration::from_millis(2_000);
 /// Requests by which an object's second target must be less loaded to be used.
