--- a/src/front/config.rs
+++ b/src/front/config.rs
@@ -29,6 +29,7 @@
     /// The platform's store.
     pub store: FrontStore,
     /// What must hold over the fleet.
+    #[serde(default)]
     pub bounds: FleetBounds,
     /// Decision logs.
     #[serde(default)]
@@ -67,6 +68,7 @@
 
 /// What must hold over the fleet.
 #[apply(record!)]
+#[serde(default)]
 pub struct FleetBounds {
     /// Time within which a withdrawn key stops working.
     pub revoke: Span,
@@ -86,6 +88,22 @@
     pub retry_window: Span,
 }
 
+impl Default for FleetBounds {
+    fn default() -> Self {
+        let seconds = |s| Span(Duration::from_secs(s));
+        Self {
+            revoke: seconds(5),
+            fail_closed: false,
+            grace: seconds(6),
+            rate_slack: 0.0,
+            lookup_ttl: seconds(5),
+            retry_ratio: 0.1,
+            retry_slack: 0.0,
+            retry_window: seconds(10),
+        }
+    }
+}
+
 /// Decision logs.
 #[apply(record!)]
 #[serde(default)]
