Say at once that the store does not answer, so that others are asked sooner

A VM whose reading fails says so in its answers, and all VMs read the store themselves at 1.7 s. While the configuration is not answered the other feeds are not asked for.

--- a/src/front/config.rs
+++ b/src/front/config.rs
@@ -20,7 +20,11 @@
     pub vm: VmId,
     /// Its zone.
     pub zone: ZoneId,
+    /// Its region; needed where `zones` does not say it.
+    #[serde(default)]
+    pub region: Option<RegionId>,
     /// The region of every zone.
+    #[serde(default)]
     pub zones: BTreeMap<ZoneId, RegionId>,
     /// Ports to listen on.
     pub listen: Listen,
@@ -167,7 +171,10 @@
     /// # Errors
     /// Names the field and what is allowed.
     pub fn parse(text: &str) -> Result<Self> {
-        let config: Self = toml::from_str(text)?;
+        let mut config: Self = toml::from_str(text)?;
+        if let Some(region) = &config.region {
+            config.zones.entry(config.zone.clone()).or_insert_with(|| region.clone());
+        }
         config.check()?;
         Ok(config)
     }
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -57,6 +57,8 @@
     leaving: AtomicBool,
     /// Set when requests are no longer taken on.
     closed: AtomicBool,
+    /// Set while the store does not answer this VM.
+    pub(crate) unread: AtomicBool,
     /// Requests that have no answer yet.
     active: AtomicU64,
     /// Wakes the task that draws this VM's tokens.
--- a/src/front/news.rs
+++ b/src/front/news.rs
@@ -2,6 +2,7 @@
 //! one, and the others ask the head of their zone.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use serde::Serialize;
@@ -23,13 +24,13 @@
 /// Age of news from which on a zone's head passes their source over.
 const HEAD_AGE: Duration = Duration::from_millis(1_200);
 /// Age of news from which on the other VMs of a zone pass their head over.
-const MEMBER_AGE: Duration = Duration::from_millis(1_500);
+const MEMBER_AGE: Duration = Duration::from_millis(1_400);
 /// Age of the configuration from which on a VM reads the store itself.
-const READ_AGE: Duration = Duration::from_millis(2_000);
+const READ_AGE: Duration = Duration::from_millis(1_700);
 /// Time after a start at which a VM that knows no configuration reads the store itself.
 const START_AGE: Duration = Duration::from_millis(500);
 /// Age of the configuration from which on VMs of other zones are asked.
-const FAR_AGE: Duration = Duration::from_millis(2_300);
+const FAR_AGE: Duration = Duration::from_millis(2_000);
 /// Time between two questions to another zone of the region.
 const NEAR_PAUSE: Duration = Duration::from_millis(900);
 /// Wait of the watch that proves the configuration's age.
@@ -41,7 +42,7 @@
 /// Wait of the watch on entry VMs.
 const VMS_WAIT: Duration = Duration::from_millis(5_000);
 /// Pause after a failed read.
-const RETRY_PAUSE: Duration = Duration::from_millis(300);
+const RETRY_PAUSE: Duration = Duration::from_millis(400);
 /// Pause between looks at whether this VM has to read the store.
 const IDLE_LOOK: Duration = Duration::from_millis(100);
 /// Pause between two tries to write this VM's entry.
@@ -103,7 +104,13 @@
 async fn read(front: Arc<Front>, feed: Feed) {
     let mut failing = false;
     loop {
-        if !reads(&front) {
+        let reads = reads(&front);
+        if !reads {
+            // Others are asked in its place; whether the store answers is not known any more.
+            front.unread.store(false, Ordering::Relaxed);
+        }
+        let waits = feed != Feed::Table && front.unread.load(Ordering::Relaxed);
+        if waits || !reads {
             sleep(IDLE_LOOK).await;
             continue;
         }
@@ -126,6 +133,7 @@
                     front.decisions.always("regained", &format_feed(feed));
                 }
                 failing = false;
+                front.unread.store(false, Ordering::Relaxed);
                 // A watch that ran to its end without a change was true for all of its wait.
                 let waited = sent + wait_of(feed);
                 let quiet = mark > 0 && delta.items.is_empty() && clock::now() >= waited;
@@ -137,6 +145,7 @@
                     log::warn!("news: {feed:?} is not read: {e}.");
                 }
                 failing = true;
+                front.unread.store(true, Ordering::Relaxed);
                 sleep(RETRY_PAUSE).await;
             }
         }
@@ -250,7 +259,7 @@
     };
     match answered(answer) {
         Ok(news) => {
-            let leaving = news.leaving;
+            let (leaving, unread) = (news.leaving, news.unread);
             front.take_news(news, sent, vm.as_str());
             let now = clock::now();
             let age = front.known.table_age(now);
@@ -258,7 +267,7 @@
             let limit = if parts.fleet.is_head(now) { HEAD_AGE } else { MEMBER_AGE };
             match age {
                 _ if leaving => parts.fleet.leaves(now, vm),
-                Some(age) if age < limit => parts.fleet.answered(vm),
+                Some(age) if age < limit && !unread => parts.fleet.answered(vm),
                 _ => parts.fleet.unanswered(now, vm),
             }
         }
--- a/src/front/run.rs
+++ b/src/front/run.rs
@@ -83,6 +83,7 @@
             started: now,
             leaving: AtomicBool::new(false),
             closed: AtomicBool::new(false),
+            unread: AtomicBool::new(false),
             active: AtomicU64::new(0),
             thirsty: Notify::new(),
             filled: Notify::new(),
--- a/src/front/sessions.rs
+++ b/src/front/sessions.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -113,7 +114,8 @@
             let age = replica.age(now)?;
             Some(FeedNews::new(feed, age, replica.delta(mark)))
         });
-        Synced { feeds: feeds.collect(), live, leaving: self.is_leaving() }
+        let unread = self.unread.load(Ordering::Relaxed);
+        Synced { feeds: feeds.collect(), live, leaving: self.is_leaving(), unread }
     }
 
     /// What this VM says of itself.
--- a/src/peer/steering.rs
+++ b/src/peer/steering.rs
@@ -34,6 +34,9 @@
     /// True if the sender will stop soon; others are to be asked.
     #[prost(bool, tag = "3")]
     pub leaving: bool,
+    /// True if the store does not answer the sender; others are to be asked.
+    #[prost(bool, tag = "4")]
+    pub unread: bool,
 }
 
 /// News of one feed.
--- a/src/steer/targets.rs
+++ b/src/steer/targets.rs
@@ -192,11 +192,9 @@
             0 => Duration::ZERO,
             ms => now + Duration::from_millis(ms) + COLD_MARGIN,
         };
-        let Some(region) = self.regions.get(&entry.zone).cloned() else {
-            log::warn!("targets: {id} stands in {}, which is no zone of ours.", entry.zone);
-            self.targets.remove(&id);
-            return;
-        };
+        // A zone that nobody has named counts as a region of its own.
+        let region = self.regions.get(&entry.zone).cloned();
+        let region = region.unwrap_or_else(|| RegionId::new(entry.zone.as_str()));
         match self.targets.get_mut(&id) {
             Some(known) => {
                 let reborn = known.entry.born_ms != entry.born_ms || known.entry.addr != entry.addr;
