--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -3,6 +3,7 @@
 //! them to sockets, clocks and tasks. What is the platform's own comes in through [`Source`] and
 //! [`Headers`].
 
+mod answer;
 mod attempt;
 mod config;
 mod decisions;
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -8,6 +8,8 @@
 //! All times are given as time since the machine's start ([`crate::clock::now`]).
 
 mod affinity;
+mod choice;
+mod entry;
 mod fleet;
 mod pool;
 mod purse;
@@ -17,6 +19,8 @@
 mod targets;
 
 pub use affinity::{Fingerprint, fingerprint, rank, sized_rank};
+pub use choice::{Choice, Pick, Picked};
+pub use entry::{TargetEntry, TargetState};
 pub use fleet::{Fleet, Heard, LiveVm, VmEntry};
 pub use pool::{Grant, Pool, Want};
 pub use purse::{Purse, Spend, Stamp};
@@ -25,4 +29,4 @@
 pub use table::{
     Access, Bounds, Customer, Index, KeyDigest, Match, Part, Route, Service, Table, key_digest,
 };
-pub use targets::{Choice, Pick, Picked, Sight, TargetBook, TargetEntry, TargetState};
+pub use targets::{Sight, TargetBook};
--- a/src/steer/targets.rs
+++ b/src/steer/targets.rs
@@ -4,10 +4,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use macro_rules_attribute::apply;
-
 use super::affinity::{Fingerprint, fingerprint, rank, sized_rank};
-use crate::common::record;
+use super::choice::{Choice, Pick, Picked};
+use super::entry::{TargetEntry, TargetState};
 use crate::model::{RegionId, ServiceId, TargetId, ZoneId};
 
 /// Added to the time for which a target says it is cold.
@@ -29,36 +28,6 @@
 /// Part of a cold target's rate that is used.
 const COLD_USED: f64 = 0.8;
 
-/// Whether a target takes work.
-#[apply(record!)]
-#[derive(Copy, Eq)]
-#[serde(rename_all = "lowercase")]
-pub enum TargetState {
-    /// It takes work.
-    Ready,
-    /// It finishes what it has.
-    Draining,
-}
-
-/// A target as it says of itself.
-#[apply(record!)]
-pub struct TargetEntry {
-    /// Its service.
-    pub service: ServiceId,
-    /// Where it listens.
-    pub addr: SocketAddr,
-    /// Its zone.
-    pub zone: ZoneId,
-    /// Requests that it runs at once.
-    pub slots: u32,
-    /// Whether it takes work.
-    pub state: TargetState,
-    /// How much longer it is cold, in milliseconds, when it said so.
-    pub cold_ms: u64,
-    /// When it started, in milliseconds since 1970.
-    pub born_ms: u64,
-}
-
 /// How far a target is trusted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Sight {
@@ -126,49 +95,6 @@
     }
 }
 
-/// What a request needs of a target.
-#[derive(Clone, Copy, Debug)]
-pub struct Choice<'a> {
-    /// The service.
-    pub service: &'a ServiceId,
-    /// The object; requests for the same object go to the same targets.
-    pub object: Fingerprint,
-    /// The region of this entry VM.
-    pub region: &'a RegionId,
-    /// Regions in which it may run; none means all.
-    pub homes: Option<&'a [RegionId]>,
-    /// Targets that it has been sent to before.
-    pub avoid: &'a [TargetId],
-    /// Requests a second that a cold target of the service bears.
-    pub cold_rate: f64,
-    /// Time until the answer is due.
-    pub left: Duration,
-}
-
-/// What the choice among targets came to.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Picked {
-    /// A target.
-    Target(Pick),
-    /// All would answer too late; the first of them by this much.
-    Busy(Duration),
-    /// No target may take the request.
-    Nothing,
-}
-
-/// A chosen target.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Pick {
-    /// The target.
-    pub id: TargetId,
-    /// Where it listens.
-    pub addr: SocketAddr,
-    /// Its region.
-    pub region: RegionId,
-    /// Requests before this one for each slot, beyond those that run.
-    pub queue: f64,
-}
-
 /// All targets known.
 #[derive(Clone, Debug, Default)]
 pub struct TargetBook {
