--- a/src/front/attempt.rs
+++ b/src/front/attempt.rs
@@ -72,8 +72,10 @@
         let Some(body) = take_body(&mut content) else {
             return Err(history.refuse("body-gone", "the body can't be sent again"));
         };
+        // Noted before it is sent: a timeout ends the attempt here.
+        let _ = write!(trail.targets, "{} in {}: ", pick.id, pick.region);
         let ended = send(front, &admitted, &pick, body).await;
-        note_attempt(trail, &pick, &ended);
+        note_end(trail, &ended);
         match judge(front, &admitted, &pick, ended, &mut history) {
             Next::Return(response) => return Ok(response),
             Next::Refuse(reason) => return Err(history.refuse(reason, "")),
@@ -292,7 +294,7 @@
     Ok(request)
 }
 
-fn note_attempt(trail: &mut Trail, pick: &Pick, ended: &Ended) {
+fn note_end(trail: &mut Trail, ended: &Ended) {
     let what = match ended {
         Ended::Answered(r) | Ended::Failed(r) => r.status().to_string(),
         Ended::NotRun { status } => format!("not run ({status})"),
@@ -300,7 +302,7 @@
         Ended::Lost(cause) => format!("lost ({cause})"),
     };
     // Writing to a string can't fail.
-    let _ = write!(trail.targets, "{} in {}: {what}; ", pick.id, pick.region);
+    let _ = write!(trail.targets, "{what}; ");
 }
 
 /// Looks whether a target that broke off an answer has died of the request.
