--- a/src/front/attempt.rs
+++ b/src/front/attempt.rs
@@ -22,8 +22,8 @@
 
 use super::Front;
 use super::answer::{Ended, forwarded, receive};
-use super::ingress::{Admitted, Content, Refused, Trail, path_of};
 use super::outbound::SendFailure;
+use super::request::{Admitted, Content, Refused, Trail, path_of};
 
 /// Least time left for a request to be sent to a target.
 const LEFT_MIN: Duration = Duration::from_millis(30);
--- a/src/front/ingress.rs
+++ b/src/front/ingress.rs
@@ -9,18 +9,19 @@
 use bytes::Bytes;
 use gotham::helpers::http::Body;
 use http::header::{AUTHORIZATION, CONNECTION, CONTENT_LENGTH, COOKIE, HOST, RETRY_AFTER};
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, request};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use rand::Rng;
 use serde::Serialize;
 
 use crate::clock;
-use crate::model::{RegionId, ServiceId};
+use crate::model::ServiceId;
 use crate::net::{Respond, text_response, whole_body};
-use crate::steer::{Access, Customer, Feed, Fingerprint, Index, Part, Route, fingerprint};
+use crate::steer::{Access, Feed, Index, Part, fingerprint};
 use crate::targets::Poison;
 
 use super::metrics::Outcome;
 use super::outbound::read_up_to;
+use super::request::{Admitted, Content, Refused, Trail, path_of};
 use super::{Front, attempt, rates};
 
 /// Longest body that is read whole before it is sent on, in bytes.
@@ -31,63 +32,9 @@
 const TABLE_WAIT: Duration = Duration::from_millis(450);
 /// Pause between looks for the first configuration.
 const TABLE_LOOK: Duration = Duration::from_millis(20);
-/// When to come back after a refusal for want of room or knowledge.
-const RETRY_SOON: Duration = Duration::from_millis(400);
 /// When to come back after a refusal for the rate.
 const RETRY_RATE: Duration = Duration::from_millis(700);
 
-/// Why a request got an answer of the front's own.
-#[derive(Clone, Debug)]
-pub(crate) struct Refused {
-    pub(crate) status: StatusCode,
-    pub(crate) reason: &'static str,
-    pub(crate) detail: String,
-    pub(crate) retry: Option<Duration>,
-}
-
-impl Refused {
-    pub(crate) fn new(status: StatusCode, reason: &'static str, detail: impl Into<String>) -> Self {
-        Self { status, reason, detail: detail.into(), retry: None }
-    }
-
-    /// A refusal of a request that has not run.
-    pub(crate) fn not_run(reason: &'static str, detail: impl Into<String>) -> Self {
-        let refused = Self::new(StatusCode::SERVICE_UNAVAILABLE, reason, detail);
-        Self { retry: Some(RETRY_SOON), ..refused }
-    }
-
-    /// Tells the caller to come back after `pause` at the least.
-    pub(crate) fn retry_after(self, pause: Duration) -> Self {
-        Self { retry: self.retry.map(|r| r.max(pause)), ..self }
-    }
-}
-
-/// The body of a request.
-pub(crate) enum Content {
-    /// All of it.
-    Whole(Bytes),
-    /// What has been read, and the rest; it can be sent once.
-    Rest(Vec<Bytes>, Body),
-}
-
-/// A request that may run.
-pub(crate) struct Admitted {
-    pub(crate) id: String,
-    pub(crate) head: request::Parts,
-    /// True if the body was not read whole before it is sent on.
-    pub(crate) long: bool,
-    pub(crate) index: Arc<Index>,
-    pub(crate) route: Route,
-    pub(crate) service: ServiceId,
-    pub(crate) customer: Option<Customer>,
-    pub(crate) homes: Option<Vec<RegionId>>,
-    pub(crate) object: Fingerprint,
-    /// When the final answer is due.
-    pub(crate) due: Duration,
-    /// Same for the same customer, method, path and body; none if the body is too long.
-    pub(crate) poison: Option<String>,
-}
-
 /// What is logged of a request's end.
 #[derive(Serialize)]
 struct Ended<'a> {
@@ -104,17 +51,6 @@
     ms: u64,
 }
 
-/// What is known of a request for the log.
-#[derive(Default)]
-pub(crate) struct Trail {
-    id: String,
-    route: String,
-    customer: String,
-    object: String,
-    /// Targets that it was sent to and what became of it there.
-    pub(crate) targets: String,
-}
-
 /// Answers callers.
 pub(crate) struct Calling(pub(crate) Arc<Front>);
 
@@ -308,11 +244,6 @@
     }
 }
 
-/// The path with its query, as it was sent.
-pub(crate) fn path_of(head: &request::Parts) -> String {
-    head.uri.path_and_query().map_or_else(|| "/".to_owned(), ToString::to_string)
-}
-
 /// The object of a request.
 fn object_of<'a>(front: &Front, headers: &'a HeaderMap) -> Option<&'a str> {
     let cookies = headers.get_all(COOKIE).iter().filter_map(|v| v.to_str().ok());
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -15,6 +15,7 @@
 mod outbound;
 mod probes;
 mod rates;
+mod request;
 mod run;
 mod sessions;
 mod source;
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -3,7 +3,7 @@
 
 use prost::{Enumeration, Message, Oneof};
 
-use super::steering::{Draw, Drawn, Sync, Synced};
+use super::steering::{Death, Draw, Drawn, Sync, Synced};
 
 /// One frame.
 #[derive(Clone, PartialEq, Message)]
@@ -414,17 +414,6 @@
     pub id: u64,
 }
 
-/// A request that ended with the death of its target.
-#[derive(Clone, PartialEq, Message)]
-pub struct Death {
-    /// Fingerprint of the request.
-    #[prost(string, tag = "1")]
-    pub fingerprint: String,
-    /// The event, so that one death is counted once.
-    #[prost(string, tag = "2")]
-    pub event: String,
-}
-
 /// Asks for the record of a request.
 #[derive(Clone, PartialEq, Message)]
 pub struct Explain {
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -11,11 +11,13 @@
 pub use error::PeerError;
 pub use handshake::{Identity, Secret};
 pub use message::{
-    Answer, Body, Cancel, Death, Empty, Envelope, EscrowNote, Explain, Explained, Field, Forward,
+    Answer, Body, Cancel, Empty, Envelope, EscrowNote, Explain, Explained, Field, Forward,
     Heartbeat, Home, Load, Objects, Outcome, VersionList, WireObject, WireVersion, ask, outcome,
 };
 pub use server::{PeerHandler, PeerServer};
-pub use steering::{Draw, Drawn, FeedNews, Sync, Synced, WireGrant, WireHeard, WireItem, WireWant};
+pub use steering::{
+    Death, Draw, Drawn, FeedNews, Sync, Synced, WireGrant, WireHeard, WireItem, WireWant,
+};
 
 /// Largest frame, in bytes: a request or answer body with its headers.
 pub(crate) const FRAME_BYTES_MAX: usize = 12 << 20;
--- a/src/peer/steering.rs
+++ b/src/peer/steering.rs
@@ -4,7 +4,6 @@
 use prost::Message;
 use std::time::Duration;
 
-use super::message::Death;
 use crate::model::{CustomerId, VmId, ZoneId};
 use crate::steer::{Delta, Feed, Grant, Heard, Item, Want};
 
@@ -116,6 +115,17 @@
     pub deaths: Vec<Death>,
 }
 
+/// A request that ended with the death of its target.
+#[derive(Clone, PartialEq, Message)]
+pub struct Death {
+    /// Fingerprint of the request.
+    #[prost(string, tag = "1")]
+    pub fingerprint: String,
+    /// The event, so that one death is counted once.
+    #[prost(string, tag = "2")]
+    pub event: String,
+}
+
 /// Tokens of one customer.
 #[derive(Clone, PartialEq, Message)]
 pub struct WireWant {
