Read the connection header in one place, and look up news by name

The fronts parsed the header twice more beside the older daemon's sanitize; all three use net::connection_listed now. Each answer to a question for news built a map of a whole feed, also with nothing new. No change of behaviour.

--- a/src/front/answer.rs
+++ b/src/front/answer.rs
@@ -5,18 +5,18 @@
 
 use bytes::Bytes;
 use gotham::helpers::http::Body;
-use http::header::CONNECTION;
 use http::{HeaderMap, Response, StatusCode, Version};
 use http_body_util::BodyExt;
 use hyper::body::{Frame, Incoming, SizeHint};
 
-use crate::net::whole_body;
+use crate::net::{connection_listed, whole_body};
 
 use super::outbound::{Lease, read_up_to};
 use super::{Headers, is_hop_header};
 
 /// Longest answer that is read whole before it is passed on, in bytes.
 const HELD_ANSWER: usize = 128 << 10;
+
 /// What became of one attempt.
 pub(crate) enum Ended {
     /// The answer to pass on.
@@ -74,13 +74,7 @@
 
 /// The headers that go on: all but those of one connection.
 pub(crate) fn forwarded(headers: &HeaderMap) -> HeaderMap {
-    let named: Vec<String> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|v| v.to_str().ok())
-        .flat_map(|v| v.split(','))
-        .map(|w| w.trim().to_ascii_lowercase())
-        .collect();
+    let named = connection_listed(headers);
     let mut out = HeaderMap::with_capacity(headers.len() + 3);
     for (name, value) in headers {
         if !is_hop_header(name) && !named.iter().any(|n| n == name.as_str()) {
--- a/src/front/knowledge.rs
+++ b/src/front/knowledge.rs
@@ -108,12 +108,12 @@
             parts.unsure_until = now + RETURN;
         }
         let news = parts.feeds[feed as usize].apply(delta, fresh);
-        let bodies: Vec<(String, Option<Bytes>)> = {
-            let held: HashMap<&str, &Bytes> = parts.feeds[feed as usize].items().collect();
-            news.into_iter()
-                .map(|n| (n.clone(), held.get(n.as_str()).map(|b| (*b).clone())))
-                .collect()
+        let held = &parts.feeds[feed as usize];
+        let with_body = |name: String| {
+            let body = held.get(&name).cloned();
+            (name, body)
         };
+        let bodies: Vec<(String, Option<Bytes>)> = news.into_iter().map(with_body).collect();
         match feed {
             Feed::Table => return self.follow_table(bodies),
             Feed::Targets => parts.follow_targets(now, bodies),
--- a/src/front/outbound.rs
+++ b/src/front/outbound.rs
@@ -7,7 +7,6 @@
 
 use bytes::Bytes;
 use gotham::helpers::http::Body;
-use http::header::CONNECTION;
 use http::{HeaderMap, Request, Response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -18,6 +17,7 @@
 use tokio::task::AbortHandle;
 
 use crate::clock;
+use crate::net::connection_listed;
 
 /// Longest time to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
@@ -206,12 +206,7 @@
 
 /// How long a connection may be idle after an answer with these headers.
 fn idle_limit(headers: &HeaderMap) -> Duration {
-    let says = |name: http::HeaderName, word: &str| {
-        headers.get_all(name).iter().any(|v| {
-            v.to_str().is_ok_and(|v| v.split(',').any(|w| w.trim().eq_ignore_ascii_case(word)))
-        })
-    };
-    if says(CONNECTION, "close") {
+    if connection_listed(headers).iter().any(|w| w == "close") {
         return Duration::ZERO;
     }
     let timeout = headers
--- a/src/front/request.rs
+++ b/src/front/request.rs
@@ -12,6 +12,7 @@
 
 /// When to come back after a refusal for want of room or knowledge.
 const RETRY_SOON: Duration = Duration::from_millis(400);
+
 /// Why a request got an answer of the front's own.
 #[derive(Clone, Debug)]
 pub(crate) struct Refused {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,10 +1,12 @@
 //! HTTP in and out: thin shells over `gotham`, `hyper` and `hyper-util`.
 
 mod client;
+mod headers;
 mod serve;
 mod tls;
 
 pub use client::{HttpClient, HttpError};
+pub(crate) use headers::connection_listed;
 pub use serve::{
     Respond, ServeBounds, Server, bytes_response, json_response, text_response, whole_body,
 };
--- a/src/node/sanitize.rs
+++ b/src/node/sanitize.rs
@@ -5,6 +5,7 @@
 use memchr::memmem;
 use percent_encoding::percent_decode;
 
+use crate::net::connection_listed;
 use crate::peer::Field;
 
 use super::refusal::{Reason, Refusal};
@@ -132,17 +133,6 @@
     !HOP_HEADERS.contains(&name.as_str()) && !listed.iter().any(|l| l == name.as_str())
 }
 
-/// Headers that `connection` names; they end at this hop, too.
-fn connection_listed(headers: &HeaderMap) -> Vec<String> {
-    headers
-        .get_all(http::header::CONNECTION)
-        .iter()
-        .filter_map(|v| v.to_str().ok())
-        .flat_map(|v| v.split(','))
-        .map(|v| v.trim().to_ascii_lowercase())
-        .collect()
-}
-
 /// True if `text` holds this key or anything that looks like an issued one, also when it is
 /// percent-encoded once or twice.
 fn holds_key(text: &[u8], key: &str) -> bool {
--- a/src/steer/replica.rs
+++ b/src/steer/replica.rs
@@ -89,6 +89,11 @@
         self.fresh.map(|f| now.saturating_sub(f))
     }
 
+    /// The content of one object, if it is held.
+    pub fn get(&self, name: &str) -> Option<&Bytes> {
+        self.items.get(name).map(|(_, body)| body)
+    }
+
     /// The objects held.
     pub fn items(&self) -> impl Iterator<Item = (&str, &Bytes)> {
         self.items.iter().map(|(name, (_, body))| (name.as_str(), body))
--- a/src/steer/targets.rs
+++ b/src/steer/targets.rs
@@ -128,7 +128,7 @@
                     known.sight = Sight::Trusted;
                 }
                 known.cold_until =
-                    cold_until.max(if reborn { cold_until } else { known.cold_until });
+                    if reborn { cold_until } else { cold_until.max(known.cold_until) };
                 known.lapsed = None;
                 known.entry = entry;
             }
