Learn a target's pace also from requests that a timeout cuts

Change: a request that ends without an answer raises the pace, never lowers it; a pace that nothing has confirmed for 2.5 s counts for nothing, so that a stuck target is tried again. Tests in steer_targets fail without it.

--- a/src/front/attempt.rs
+++ b/src/front/attempt.rs
@@ -209,22 +209,24 @@
         Ok(request) => request,
         Err(cause) => return Ended::Unreached(cause),
     };
-    let _running = Running::new(front, pick);
-    let start = clock::now();
+    let mut running = Running::new(front, pick);
     let sent = front.outbound.send(pick.addr, request, true).await;
     match sent {
         Ok((response, lease)) => {
             note_load(front, pick, response.headers());
             let ended = receive(&front.headers, &admitted.id, response, lease).await;
-            if matches!(ended, Ended::Answered(_)) {
-                front.known.parts().book.took(pick, clock::now().saturating_sub(start));
-            }
+            running.end(matches!(ended, Ended::Answered(_)));
             ended
         }
-        Err(SendFailure { sent: false, step, peer, cause }) => {
-            Ended::Unreached(format!("{step} at {peer}: {cause}"))
+        Err(e) => {
+            running.end(false);
+            match e {
+                SendFailure { sent: false, step, peer, cause } => {
+                    Ended::Unreached(format!("{step} at {peer}: {cause}"))
+                }
+                e => Ended::Lost(e.to_string()),
+            }
         }
-        Err(e) => Ended::Lost(e.to_string()),
     }
 }
 
@@ -239,22 +241,40 @@
     }
 }
 
-/// Counts a request at its target.
+/// Counts a request at its target. Dropped before its end, it was cut: by its timeout, or
+/// because the caller has left.
 struct Running<'a> {
     front: &'a Front,
-    target: &'a TargetId,
+    pick: &'a Pick,
+    start: Duration,
+    ended: bool,
 }
 
 impl<'a> Running<'a> {
     fn new(front: &'a Front, pick: &'a Pick) -> Self {
         front.known.parts().book.sent(&pick.id);
-        Self { front, target: &pick.id }
+        Self { front, pick, start: clock::now(), ended: false }
+    }
+
+    /// Learns that the target is done with the request.
+    fn end(&mut self, answered: bool) {
+        self.ended = true;
+        if answered {
+            let now = clock::now();
+            let took = now.saturating_sub(self.start);
+            self.front.known.parts().book.took(now, self.pick, took);
+        }
     }
 }
 
 impl Drop for Running<'_> {
     fn drop(&mut self) {
-        self.front.known.parts().book.ended(self.target);
+        let mut parts = self.front.known.parts();
+        parts.book.ended(&self.pick.id);
+        if !self.ended {
+            let now = clock::now();
+            parts.book.cut(now, self.pick, now.saturating_sub(self.start));
+        }
     }
 }
 
--- a/src/steer/targets.rs
+++ b/src/steer/targets.rs
@@ -25,6 +25,9 @@
 const SPILL_GAIN: f64 = 1.0;
 /// How fast the estimate of a target's running time follows what is seen.
 const PACE_GAIN: f64 = 0.2;
+/// Time after which a pace that nothing has confirmed counts for nothing, so that a target which
+/// was stuck is tried again.
+const PACE_LIFE: Duration = Duration::from_millis(2_500);
 /// Part of a cold target's rate that is used.
 const COLD_USED: f64 = 0.8;
 
@@ -66,6 +69,8 @@
     reported: Duration,
     /// Time for which a request runs there, smoothed, in seconds; 0 while unknown.
     pace: f64,
+    /// When the last request taught the pace.
+    paced: Duration,
     /// Set when the store has lost the entry at a time when it can't be believed.
     lapsed: Option<Duration>,
 }
@@ -84,9 +89,10 @@
         ((self.load(now) + 1.0 - slots) / slots).max(0.0)
     }
 
-    /// Time until the answer to one more request, in seconds.
-    fn expected(&self, now: Duration) -> f64 {
-        self.pace * (1.0 + self.queue(now))
+    /// Time until the answer to one more request, in seconds; none if nothing recent tells.
+    fn expected(&self, now: Duration) -> Option<f64> {
+        let known = now.saturating_sub(self.paced) < PACE_LIFE;
+        known.then(|| self.pace * (1.0 + self.queue(now)))
     }
 
     /// Requests for each slot.
@@ -145,6 +151,7 @@
                     others: 0.0,
                     reported: Duration::ZERO,
                     pace: 0.0,
+                    paced: Duration::ZERO,
                     lapsed: None,
                 };
                 self.targets.insert(id, known);
@@ -206,8 +213,8 @@
             (Some((_, _, a)), Some((_, id, b))) if spills(now, a, b) => Some((id, b)),
             (first, _) => first.map(|(_, id, k)| (id, k)),
         };
-        if let Some((_, known)) = chosen {
-            let late = known.expected(now) - choice.left.as_secs_f64();
+        if let Some(expected) = chosen.and_then(|(_, known)| known.expected(now)) {
+            let late = expected - choice.left.as_secs_f64();
             if late > 0.0 {
                 return Picked::Busy(Duration::from_secs_f64(late));
             }
@@ -272,13 +279,25 @@
     }
 
     /// Learns how long a target took to answer a request.
-    pub fn took(&mut self, pick: &Pick, took: Duration) {
+    pub fn took(&mut self, now: Duration, pick: &Pick, took: Duration) {
         if let Some(known) = self.targets.get_mut(&pick.id) {
+            known.paced = now;
             let run = took.as_secs_f64() / (1.0 + pick.queue);
             known.pace += if known.pace == 0.0 { run } else { (run - known.pace) * PACE_GAIN };
         }
     }
 
+    /// Learns that a request got no answer within `waited`: its run would have taken longer.
+    pub fn cut(&mut self, now: Duration, pick: &Pick, waited: Duration) {
+        if let Some(known) = self.targets.get_mut(&pick.id) {
+            let least = waited.as_secs_f64() / (1.0 + pick.queue);
+            if least > known.pace {
+                known.paced = now;
+                known.pace += (least - known.pace) * PACE_GAIN;
+            }
+        }
+    }
+
     /// Learns that a target can't be reached or broke off.
     pub fn failed(&mut self, now: Duration, id: &TargetId) {
         if let Some(known) = self.targets.get_mut(id)
--- a/tests/steer_targets.rs
+++ b/tests/steer_targets.rs
@@ -229,9 +229,43 @@
     let mut book = book(1);
     let ask = Ask { left: ms(1_500), ..Ask::default() };
     let Picked::Target(pick) = ask.picked(&mut book, ms(10), "o") else { panic!("a target") };
-    book.took(&pick, ms(800));
+    book.took(ms(15), &pick, ms(800));
     assert!(ask.pick(&mut book, ms(20), "o").is_some());
     book.reported(ms(30), &id(0), 24);
     assert!(matches!(ask.picked(&mut book, ms(40), "o"), Picked::Busy(_)));
     assert!(ask.pick(&mut book, ms(2_500), "o").is_some(), "an old report counts for nothing");
 }
+
+#[test]
+fn requests_that_a_timeout_cuts_teach_how_long_a_target_takes() {
+    let mut book = book(1);
+    let ask = Ask { left: ms(4_000), ..Ask::default() };
+    let Picked::Target(pick) = ask.picked(&mut book, ms(10), "o") else { panic!("a target") };
+    book.took(ms(15), &pick, ms(800));
+    // Six slots and 12 more requests: two runs to wait for, by the pace known.
+    book.reported(ms(20), &id(0), 18);
+    let Picked::Target(queued) = ask.picked(&mut book, ms(30), "o") else { panic!("a target") };
+    // The answer should have come after 2.5 s. Many wait for 4 s in vain.
+    for _ in 0..20 {
+        book.cut(ms(4_000), &queued, ms(4_000));
+    }
+    book.reported(ms(4_000), &id(0), 24);
+    assert!(matches!(ask.picked(&mut book, ms(4_010), "o"), Picked::Busy(_)));
+    // A caller that leaves early says nothing.
+    for _ in 0..200 {
+        book.cut(ms(4_000), &queued, ms(100));
+    }
+    assert!(matches!(ask.picked(&mut book, ms(4_020), "o"), Picked::Busy(_)));
+}
+
+#[test]
+fn a_target_that_was_stuck_is_tried_again() {
+    let mut book = book(1);
+    let ask = Ask { left: ms(4_000), ..Ask::default() };
+    let Picked::Target(pick) = ask.picked(&mut book, ms(10), "o") else { panic!("a target") };
+    for _ in 0..100 {
+        book.cut(ms(4_100), &pick, ms(4_100));
+    }
+    assert!(matches!(ask.picked(&mut book, ms(4_200), "o"), Picked::Busy(_)));
+    assert!(ask.pick(&mut book, ms(7_000), "o").is_some());
+}
