Bound what one VM has at a target by a window that timeouts shrink

A large customer homed in one region overloads its few targets; every VM knows their queues only from reports that age, so queues stay at the length of the timeout, requests are cut after their wait, and their tail runs on after the others have ended. Change: each VM has a window of its own requests at each target (src/steer/load.rs), which a timeout shrinks and answers let grow; closed, it sends to the second target or refuses.

--- a/src/front/attempt.rs
+++ b/src/front/attempt.rs
@@ -29,6 +29,8 @@
 const LEFT_MIN: Duration = Duration::from_millis(30);
 /// Longest wait for a connection to a target that broke off an answer.
 const EXAMINE_TIMEOUT: Duration = Duration::from_millis(400);
+/// A request that is cut this close to its time is cut by its timeout.
+const TIMER_GRAIN: Duration = Duration::from_millis(5);
 /// Most targets that may fail to be reached before a request is given up.
 const UNREACHED_MAX: u32 = 4;
 
@@ -209,7 +211,7 @@
         Ok(request) => request,
         Err(cause) => return Ended::Unreached(cause),
     };
-    let mut running = Running::new(front, pick);
+    let mut running = Running::new(front, pick, admitted.due);
     let sent = front.outbound.send(pick.addr, request, true).await;
     match sent {
         Ok((response, lease)) => {
@@ -247,13 +249,15 @@
     front: &'a Front,
     pick: &'a Pick,
     start: Duration,
+    /// When the answer is due.
+    due: Duration,
     ended: bool,
 }
 
 impl<'a> Running<'a> {
-    fn new(front: &'a Front, pick: &'a Pick) -> Self {
+    fn new(front: &'a Front, pick: &'a Pick, due: Duration) -> Self {
         front.known.parts().book.sent(&pick.id);
-        Self { front, pick, start: clock::now(), ended: false }
+        Self { front, pick, start: clock::now(), due, ended: false }
     }
 
     /// Learns that the target is done with the request.
@@ -269,12 +273,13 @@
 
 impl Drop for Running<'_> {
     fn drop(&mut self) {
+        let now = clock::now();
         let mut parts = self.front.known.parts();
-        parts.book.ended(&self.pick.id);
         if !self.ended {
-            let now = clock::now();
-            parts.book.cut(now, self.pick, now.saturating_sub(self.start));
+            let due = now + TIMER_GRAIN >= self.due;
+            parts.book.cut(now, self.pick, now.saturating_sub(self.start), due);
         }
+        parts.book.ended(&self.pick.id);
     }
 }
 
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -11,6 +11,7 @@
 mod choice;
 mod entry;
 mod fleet;
+mod load;
 mod pool;
 mod purse;
 mod replica;
--- a/src/steer/targets.rs
+++ b/src/steer/targets.rs
@@ -7,6 +7,7 @@
 use super::affinity::{Fingerprint, fingerprint, rank, sized_rank};
 use super::choice::{Choice, Pick, Picked};
 use super::entry::{TargetEntry, TargetState};
+use super::load::Load;
 use crate::model::{RegionId, ServiceId, TargetId, ZoneId};
 
 /// Added to the time for which a target says it is cold.
@@ -19,15 +20,8 @@
 const LAPSE: Duration = Duration::from_millis(2_300);
 /// How much larger a target of the own region counts when an object's targets are ranked.
 const NEAR_SIZE: f64 = 5.0;
-/// Time after which a target's report on its load counts for nothing.
-const REPORT_LIFE: Duration = Duration::from_millis(2_000);
 /// Requests by which an object's second target must be less loaded to be used.
 const SPILL_GAIN: f64 = 1.0;
-/// How fast the estimate of a target's running time follows what is seen.
-const PACE_GAIN: f64 = 0.2;
-/// Time after which a pace that nothing has confirmed counts for nothing, so that a target which
-/// was stuck is tried again.
-const PACE_LIFE: Duration = Duration::from_millis(2_500);
 /// Part of a cold target's rate that is used.
 const COLD_USED: f64 = 0.8;
 
@@ -61,46 +55,11 @@
     cold_until: Duration,
     /// When the next request may go to it while it is cold.
     cold_next: Duration,
-    /// Requests of this entry VM that run there.
-    running: u32,
-    /// Requests of others there, by its last report.
-    others: f64,
-    /// When it made the report.
-    reported: Duration,
-    /// Time for which a request runs there, smoothed, in seconds; 0 while unknown.
-    pace: f64,
-    /// When the last request taught the pace.
-    paced: Duration,
+    load: Load,
     /// Set when the store has lost the entry at a time when it can't be believed.
     lapsed: Option<Duration>,
 }
 
-impl Known {
-    /// Requests that are there now, as far as this entry VM can know.
-    fn load(&self, now: Duration) -> f64 {
-        let age = now.saturating_sub(self.reported).as_secs_f64();
-        let trust = (1.0 - age / REPORT_LIFE.as_secs_f64()).max(0.0);
-        f64::from(self.running) + self.others * trust
-    }
-
-    /// Requests that one more would wait for, for each slot.
-    fn queue(&self, now: Duration) -> f64 {
-        let slots = f64::from(self.entry.slots.max(1));
-        ((self.load(now) + 1.0 - slots) / slots).max(0.0)
-    }
-
-    /// Time until the answer to one more request, in seconds; none if nothing recent tells.
-    fn expected(&self, now: Duration) -> Option<f64> {
-        let known = now.saturating_sub(self.paced) < PACE_LIFE;
-        known.then(|| self.pace * (1.0 + self.queue(now)))
-    }
-
-    /// Requests for each slot.
-    fn fill(&self, now: Duration) -> f64 {
-        self.load(now) / f64::from(self.entry.slots.max(1))
-    }
-}
-
 /// All targets known.
 #[derive(Clone, Debug, Default)]
 pub struct TargetBook {
@@ -136,22 +95,19 @@
                 known.cold_until =
                     if reborn { cold_until } else { cold_until.max(known.cold_until) };
                 known.lapsed = None;
+                known.load.set_slots(entry.slots);
                 known.entry = entry;
             }
             None => {
                 let hash = fingerprint(id.as_str().as_bytes());
                 let known = Known {
+                    load: Load::new(entry.slots),
                     entry,
                     hash,
                     region,
                     sight: Sight::Trusted,
                     cold_until,
                     cold_next: Duration::ZERO,
-                    running: 0,
-                    others: 0.0,
-                    reported: Duration::ZERO,
-                    pace: 0.0,
-                    paced: Duration::ZERO,
                     lapsed: None,
                 };
                 self.targets.insert(id, known);
@@ -210,13 +166,14 @@
             }
         }
         let chosen = match (first, second) {
-            (Some((_, _, a)), Some((_, id, b))) if spills(now, a, b) => Some((id, b)),
+            (Some((_, _, a)), Some((_, id, b))) if spills(now, &a.load, &b.load) => Some((id, b)),
             (first, _) => first.map(|(_, id, k)| (id, k)),
         };
-        if let Some(expected) = chosen.and_then(|(_, known)| known.expected(now)) {
+        if let Some((_, known)) = chosen {
+            let expected = known.load.expected(now).unwrap_or_default();
             let late = expected - choice.left.as_secs_f64();
-            if late > 0.0 {
-                return Picked::Busy(Duration::from_secs_f64(late));
+            if late > 0.0 || !known.load.is_open() {
+                return Picked::Busy(Duration::from_secs_f64(late.max(0.0)));
             }
         }
         let id = chosen.map(|(id, _)| id.clone()).or_else(|| self.pick_cold(now, choice));
@@ -227,7 +184,7 @@
             id: id.clone(),
             addr: known.entry.addr,
             region: known.region.clone(),
-            queue: known.queue(now),
+            queue: known.load.queue(now),
         })
     }
 
@@ -259,41 +216,38 @@
     /// Counts a request sent to a target.
     pub fn sent(&mut self, id: &TargetId) {
         if let Some(known) = self.targets.get_mut(id) {
-            known.running += 1;
+            known.load.sent();
         }
     }
 
     /// Counts a request that has ended at a target.
     pub fn ended(&mut self, id: &TargetId) {
         if let Some(known) = self.targets.get_mut(id) {
-            known.running = known.running.saturating_sub(1);
+            known.load.ended();
         }
     }
 
-    /// Learns how many requests a target has, with those of this entry VM, and its slots.
+    /// Learns how many requests a target has, with those of this entry VM.
     pub fn reported(&mut self, now: Duration, id: &TargetId, requests: u32) {
         if let Some(known) = self.targets.get_mut(id) {
-            known.others = f64::from(requests.saturating_sub(known.running));
-            known.reported = now;
+            known.load.reported(now, requests);
         }
     }
 
     /// Learns how long a target took to answer a request.
     pub fn took(&mut self, now: Duration, pick: &Pick, took: Duration) {
         if let Some(known) = self.targets.get_mut(&pick.id) {
-            known.paced = now;
-            let run = took.as_secs_f64() / (1.0 + pick.queue);
-            known.pace += if known.pace == 0.0 { run } else { (run - known.pace) * PACE_GAIN };
+            known.load.took(now, pick.queue, took);
         }
     }
 
-    /// Learns that a request got no answer within `waited`: its run would have taken longer.
-    pub fn cut(&mut self, now: Duration, pick: &Pick, waited: Duration) {
+    /// Learns that a request had no answer after `waited`, when it was cut: by its timeout if it
+    /// was `due`, or else because its caller left.
+    pub fn cut(&mut self, now: Duration, pick: &Pick, waited: Duration, due: bool) {
         if let Some(known) = self.targets.get_mut(&pick.id) {
-            let least = waited.as_secs_f64() / (1.0 + pick.queue);
-            if least > known.pace {
-                known.paced = now;
-                known.pace += (least - known.pace) * PACE_GAIN;
+            known.load.cut(now, pick.queue, waited);
+            if due {
+                known.load.timed_out(now);
             }
         }
     }
@@ -368,7 +322,9 @@
 }
 
 /// True if an object's second target is to be used in place of the first.
-fn spills(now: Duration, first: &Known, second: &Known) -> bool {
-    let slots = f64::from(first.entry.slots.max(1));
-    first.load(now) >= slots && second.fill(now) + SPILL_GAIN / slots < first.fill(now)
+fn spills(now: Duration, first: &Load, second: &Load) -> bool {
+    if !first.is_open() {
+        return second.is_open();
+    }
+    !first.has_free_slot(now) && second.fill(now, SPILL_GAIN) < first.fill(now, 0.0)
 }
--- a/tests/steer_targets.rs
+++ b/tests/steer_targets.rs
@@ -247,13 +247,13 @@
     let Picked::Target(queued) = ask.picked(&mut book, ms(30), "o") else { panic!("a target") };
     // The answer should have come after 2.5 s. Many wait for 4 s in vain.
     for _ in 0..20 {
-        book.cut(ms(4_000), &queued, ms(4_000));
+        book.cut(ms(4_000), &queued, ms(4_000), false);
     }
     book.reported(ms(4_000), &id(0), 24);
     assert!(matches!(ask.picked(&mut book, ms(4_010), "o"), Picked::Busy(_)));
     // A caller that leaves early says nothing.
     for _ in 0..200 {
-        book.cut(ms(4_000), &queued, ms(100));
+        book.cut(ms(4_000), &queued, ms(100), false);
     }
     assert!(matches!(ask.picked(&mut book, ms(4_020), "o"), Picked::Busy(_)));
 }
@@ -264,8 +264,63 @@
     let ask = Ask { left: ms(4_000), ..Ask::default() };
     let Picked::Target(pick) = ask.picked(&mut book, ms(10), "o") else { panic!("a target") };
     for _ in 0..100 {
-        book.cut(ms(4_100), &pick, ms(4_100));
+        book.cut(ms(4_100), &pick, ms(4_100), true);
     }
     assert!(matches!(ask.picked(&mut book, ms(4_200), "o"), Picked::Busy(_)));
     assert!(ask.pick(&mut book, ms(7_000), "o").is_some());
 }
+
+/// Sends `count` requests that a timeout cuts after 1.2 s, and returns how many were let through.
+fn time_out(book: &mut TargetBook, ask: &Ask, start: Duration, count: usize) -> usize {
+    let picks: Vec<_> = (0..count)
+        .filter_map(|_| match ask.picked(book, start, "o") {
+            Picked::Target(pick) => {
+                book.sent(&pick.id);
+                Some(pick)
+            }
+            Picked::Busy(_) | Picked::Nothing => None,
+        })
+        .collect();
+    for pick in &picks {
+        book.cut(start + ms(1_200), pick, ms(1_200), true);
+        book.ended(&pick.id);
+    }
+    picks.len()
+}
+
+#[test]
+fn timeouts_shrink_what_one_vm_sends_and_answers_let_it_grow() {
+    let mut book = book(1);
+    let ask = Ask { left: ms(60_000), ..Ask::default() };
+    let sent: Vec<usize> =
+        (0..8).map(|i| time_out(&mut book, &ask, ms(10 + i * 1_300), 40)).collect();
+    assert!(sent.is_sorted_by(|a, b| a >= b), "{sent:?}");
+    assert!(sent[0] <= 12, "at most two requests for each slot: {sent:?}");
+    assert_eq!(sent[7], 1, "one is always let through");
+    let now = ms(20_000);
+    for _ in 0..200 {
+        let Picked::Target(pick) = ask.picked(&mut book, now, "o") else { panic!("a target") };
+        book.took(now, &pick, ms(300));
+    }
+    assert!(time_out(&mut book, &ask, now, 40) >= 6, "the slots are used again");
+}
+
+#[test]
+fn a_first_target_that_is_closed_spills_to_the_second() {
+    let mut book = book(2);
+    let ask = Ask::default();
+    let first = ask.pick(&mut book, ms(10), "o").expect("a target");
+    for i in 0..8 {
+        let Picked::Target(pick) = ask.picked(&mut book, ms(10 + i * 3_000), "o") else {
+            panic!("a target")
+        };
+        if pick.id == first {
+            book.sent(&first);
+            book.cut(ms(1_300 + i * 3_000), &pick, ms(1_200), true);
+            book.ended(&first);
+        }
+    }
+    book.sent(&first);
+    let second = ask.pick(&mut book, ms(60_000), "o").expect("a target");
+    assert_ne!(second, first, "one request is all that the first may have");
+}
