Leave targets of a region to the customers that are bound to it

Change: for requests that are bound nowhere, targets count less in a region by the part of all rates that is bound to it (src/steer/reserve.rs); the change is slow, so that few requests change their region.

--- a/src/front/knowledge.rs
+++ b/src/front/knowledge.rs
@@ -115,7 +115,11 @@
         };
         let bodies: Vec<(String, Option<Bytes>)> = news.into_iter().map(with_body).collect();
         match feed {
-            Feed::Table => return self.follow_table(bodies),
+            Feed::Table => {
+                let index = self.follow_table(bodies)?;
+                parts.book.bind(index.homed());
+                return Some(index.table().version);
+            }
             Feed::Targets => parts.follow_targets(now, bodies),
             Feed::Evacuations if !bodies.is_empty() => parts.follow_evacuations(now),
             Feed::Evacuations => {}
@@ -124,7 +128,8 @@
         None
     }
 
-    fn follow_table(&self, bodies: Vec<(String, Option<Bytes>)>) -> Option<u64> {
+    /// Takes a newer configuration into force.
+    fn follow_table(&self, bodies: Vec<(String, Option<Bytes>)>) -> Option<Arc<Index>> {
         let (_, body) = bodies.into_iter().find(|(name, _)| name == TABLE_NAME)?;
         let table: Table = decode("config", TABLE_NAME, &body?)?;
         let version = table.version;
@@ -132,8 +137,9 @@
         if current.is_some_and(|c| version <= c) {
             return None;
         }
-        self.index.store(Some(Arc::new(Index::new(table))));
-        Some(version)
+        let index = Arc::new(Index::new(table));
+        self.index.store(Some(index.clone()));
+        Some(index)
     }
 }
 
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -15,6 +15,7 @@
 mod pool;
 mod purse;
 mod replica;
+mod reserve;
 mod retries;
 mod table;
 mod targets;
--- a/src/steer/table.rs
+++ b/src/steer/table.rs
@@ -198,6 +198,24 @@
         self.services.get(id).map(|&i| &self.table.services[i])
     }
 
+    /// The part of all customers' rates that is bound to each region; nothing if some customer has
+    /// no limit, so that the parts can't be told.
+    pub fn homed(&self) -> HashMap<RegionId, f64> {
+        let customers = &self.table.customers;
+        let mut out = HashMap::new();
+        if customers.iter().any(|c| c.rate <= 0.0) {
+            return out;
+        }
+        let total: f64 = customers.iter().map(|c| c.rate).sum();
+        for customer in customers {
+            let part = customer.rate / total / customer.homes.len() as f64;
+            for home in &customer.homes {
+                *out.entry(home.clone()).or_default() += part;
+            }
+        }
+        out
+    }
+
     /// The regions in which a request of `route` and `access` may run; none means all.
     pub fn homes(&self, route: &Route, access: Access<'_>) -> Option<Vec<RegionId>> {
         let of_customer: &[RegionId] = match access {
--- a/src/steer/targets.rs
+++ b/src/steer/targets.rs
@@ -8,6 +8,7 @@
 use super::choice::{Choice, Pick, Picked};
 use super::entry::{TargetEntry, TargetState};
 use super::load::Load;
+use super::reserve::Reserve;
 use crate::model::{RegionId, ServiceId, TargetId, ZoneId};
 
 /// Added to the time for which a target says it is cold.
@@ -67,6 +68,7 @@
     /// The region of each zone.
     regions: HashMap<ZoneId, RegionId>,
     evacuated: BTreeSet<ZoneId>,
+    reserve: Reserve,
     /// Zones whose cold targets this entry VM may send to.
     cold_zones: BTreeSet<ZoneId>,
 }
@@ -145,9 +147,28 @@
         self.cold_zones = zones;
     }
 
+    /// Learns each region's part of the demand by customers that are bound to it.
+    pub fn bind(&mut self, bound: HashMap<RegionId, f64>) {
+        self.reserve.set(bound);
+    }
+
+    /// The part of its size with which each region counts for a request that is bound to none.
+    fn region_sizes(&mut self, now: Duration, choice: &Choice<'_>) -> HashMap<RegionId, f64> {
+        if choice.homes.is_some() || self.reserve.is_idle() {
+            return HashMap::new();
+        }
+        let mut slots: HashMap<&RegionId, f64> = HashMap::new();
+        for known in self.targets.values().filter(|k| self.is_open(k, choice)) {
+            *slots.entry(&known.region).or_default() += f64::from(known.entry.slots.max(1));
+        }
+        let sizes = self.reserve.sizes(now, choice.service, &slots);
+        sizes.into_iter().map(|(region, size)| (region.clone(), size)).collect()
+    }
+
     /// Chooses a target: the first in the object's order that is usable, or the second if the
     /// first has no free slot and more to do.
     pub fn pick(&mut self, now: Duration, choice: &Choice<'_>) -> Picked {
+        let sizes = self.region_sizes(now, choice);
         let usable = self
             .targets
             .iter()
@@ -156,7 +177,8 @@
         let (mut first, mut second): (Option<(f64, &TargetId, &Known)>, _) = (None, None);
         for (id, known) in usable {
             let near = if known.region == *choice.region { NEAR_SIZE } else { 1.0 };
-            let size = f64::from(known.entry.slots.max(1)) * near;
+            let room = sizes.get(&known.region).copied().unwrap_or(1.0);
+            let size = f64::from(known.entry.slots.max(1)) * near * room;
             let score = sized_rank(choice.object, known.hash, size);
             let candidate = Some((score, id, known));
             if first.is_none_or(|(best, ..)| score > best) {
--- a/tests/steer_targets.rs
+++ b/tests/steer_targets.rs
@@ -5,7 +5,8 @@
 
 use shallotstall::model::{RegionId, ServiceId, TargetId, ZoneId};
 use shallotstall::steer::{
-    Choice, Picked, Sight, TargetBook, TargetEntry, TargetState, fingerprint,
+    Choice, Customer, Index, Picked, Sight, Table, TargetBook, TargetEntry, TargetState,
+    fingerprint,
 };
 
 fn ms(ms: u64) -> Duration {
@@ -324,3 +325,59 @@
     let second = ask.pick(&mut book, ms(60_000), "o").expect("a target");
     assert_ne!(second, first, "one request is all that the first may have");
 }
+
+/// How many of 300 objects are served in the region of this entry VM.
+fn near_of(book: &mut TargetBook, now: Duration) -> usize {
+    let near = homes_of(book, now).into_iter().flatten().filter(|t| {
+        let zone = &book.entry(t).expect("an entry").zone;
+        *zone != "c".into()
+    });
+    near.count()
+}
+
+#[test]
+fn targets_are_left_to_customers_that_are_bound_to_their_region() {
+    let mut book = book(12);
+    book.bind(HashMap::new());
+    let free = near_of(&mut book, ms(10));
+    // Two thirds of the slots, for all of the demand.
+    book.bind(HashMap::from([("north".into(), 1.0)]));
+    let bound = Ask { homes: Some(vec!["north".into()]), ..Ask::default() };
+    let mut last = free;
+    for i in 1..=40 {
+        let now = ms(10 + i * 1_000);
+        let near = near_of(&mut book, now);
+        assert!(last.saturating_sub(near) <= 22, "{last} to {near} of 300 within a second");
+        assert!(bound.pick(&mut book, now, "o").is_some());
+        last = near;
+    }
+    assert!(last < free / 2, "{free} before, {last} after");
+    // The demand has moved away: so do the objects, in the end.
+    book.bind(HashMap::new());
+    (0..60).for_each(|i| {
+        near_of(&mut book, ms(41_000 + i * 1_000));
+    });
+    assert_eq!(near_of(&mut book, ms(102_000)), free);
+}
+
+#[test]
+fn the_demand_bound_to_regions_follows_from_rates_and_homes() {
+    let customer = |id: &str, rate: f64, homes: &[&str]| Customer {
+        id: id.into(),
+        keys: Vec::new(),
+        priority: 0,
+        rate,
+        burst: 0.0,
+        homes: homes.iter().map(|h| (*h).into()).collect(),
+    };
+    let table = |customers| Table { customers, ..Table::default() };
+    let free = customer("free", 50.0, &[]);
+    let one = customer("one", 30.0, &["north"]);
+    let two = customer("two", 20.0, &["north", "south"]);
+    let index = Index::new(table(vec![free, one.clone(), two]));
+    let bound = index.homed();
+    assert!((bound[&RegionId::from("north")] - 0.4).abs() < 1e-9, "{bound:?}");
+    assert!((bound[&RegionId::from("south")] - 0.1).abs() < 1e-9, "{bound:?}");
+    let unlimited = customer("unlimited", 0.0, &[]);
+    assert!(Index::new(table(vec![one, unlimited])).homed().is_empty());
+}
