Let shallotctl explain read the fronts' logs; say why a rate is used up

Cause: who had only logs had to search them by hand and to know which lines of the VM's state matter.

--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -1,34 +1,97 @@
 //! `explain`: why a request went where it went.
 
-use anyhow::Result;
+use std::fs::File;
+use std::io::{BufReader, stdin};
+use std::path::PathBuf;
+
+use anyhow::{Context, Result};
 use clap::Args;
 use http::Method;
 use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
 use serde_json::Value;
 
+use crate::story::{Entry, Story};
+
 use super::operator::Operator;
 use super::{Exit, Run};
 
 /// Say why a request was routed or refused as it was.
 #[derive(Args, Debug)]
 pub(crate) struct Explain {
-    /// The request's id, from the header x-request-id of its answer.
+    /// The request's id: from the header x-request-id of a daemon's answer, or the id that a
+    /// front's caller gave it.
     request: String,
-    #[command(flatten)]
-    operator: Operator,
+    /// Read fronts' decision logs instead of asking a daemon; - is the standard input.
+    #[arg(long, num_args = 1.., value_name = "FILE")]
+    logs: Vec<PathBuf>,
+    /// Address of any daemon's port for operators.
+    #[arg(long, env = "SHALLOT_OPERATOR", value_name = "HOST:PORT")]
+    #[arg(required_unless_present = "logs")]
+    operator: Option<String>,
+    /// File with the operators' token.
+    #[arg(long, env = "SHALLOT_TOKEN_FILE", value_name = "FILE")]
+    #[arg(required_unless_present = "logs")]
+    token_file: Option<PathBuf>,
+    /// Print JSON.
+    #[arg(long)]
+    json: bool,
 }
 
 impl Run for Explain {
     fn run(&self) -> Result<Exit> {
+        match (&self.operator, &self.token_file) {
+            (Some(operator), Some(token_file)) if self.logs.is_empty() => {
+                self.ask(&Operator::new(operator, token_file, self.json))
+            }
+            _ => self.read_logs(),
+        }
+    }
+}
+
+impl Explain {
+    fn ask(&self, operator: &Operator) -> Result<Exit> {
         let id = utf8_percent_encode(&self.request, NON_ALPHANUMERIC);
-        match self.operator.call::<Value>(Method::GET, &format!("/v1/requests/{id}"), "")? {
+        match operator.call::<Value>(Method::GET, &format!("/v1/requests/{id}"), "")? {
             Ok(record) => {
-                self.operator.print(&record, print_record)?;
+                operator.print(&record, print_record)?;
                 Ok(Exit::Done)
             }
             Err(declined) => Ok(declined.print()),
         }
     }
+
+    fn read_logs(&self) -> Result<Exit> {
+        let mut story = Story::default();
+        for path in &self.logs {
+            if path.as_os_str() == "-" {
+                story.read(&self.request, "stdin", stdin().lock())?;
+                continue;
+            }
+            let file = File::open(path).with_context(|| format!("open {}", path.display()))?;
+            let source = path.file_stem().unwrap_or(path.as_os_str()).to_string_lossy();
+            story.read(&self.request, &source, BufReader::new(file))?;
+        }
+        if self.json {
+            println!("{}", serde_json::to_string_pretty(&story)?);
+        } else {
+            story.entries.iter().for_each(print_entry);
+        }
+        if !story.is_empty() {
+            return Ok(Exit::Done);
+        }
+        eprintln!("shallotctl: no line of these logs is about request {}", self.request);
+        let omitted: u64 = story.omitted.values().sum();
+        if omitted > 0 {
+            eprintln!("shallotctl: {omitted} lines were left out of them; it may be among those");
+        }
+        Ok(Exit::Missing)
+    }
+}
+
+fn print_entry(entry: &Entry) {
+    let fields = entry.fields.iter().filter(|(_, v)| v.as_str() != Some(""));
+    let fields: Vec<String> = fields.map(|(name, value)| format!("{name}={value}")).collect();
+    println!("{} {:18} {:9} {}", entry.time, entry.source, entry.kind, fields.join(" "));
 }
 
 fn print_record(record: &Value) {
--- a/src/cmd/operator.rs
+++ b/src/cmd/operator.rs
@@ -1,7 +1,7 @@
 //! Calls to a daemon's port for operators.
 
 use std::collections::BTreeMap;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use anyhow::{Context, Result};
@@ -45,6 +45,11 @@
 pub(crate) type Answer<T> = Result<T, Declined>;
 
 impl Operator {
+    /// A daemon's port at `operator`, to be called with the token in `token_file`.
+    pub(crate) fn new(operator: &str, token_file: &Path, json: bool) -> Self {
+        Self { operator: operator.to_owned(), token_file: token_file.to_owned(), json }
+    }
+
     /// Calls the daemon and reads its JSON answer.
     pub(crate) fn call<T: DeserializeOwned>(
         &self,
--- a/src/front/ingress.rs
+++ b/src/front/ingress.rs
@@ -134,8 +134,8 @@
     check_size(&head.headers, &index)?;
     if let Some(customer) = &customer {
         check_age(front, arrived)?;
-        if !rates::take(front, customer).await {
-            let detail = format!("{} has used up its rate", customer.id);
+        if let Err(cause) = rates::take(front, customer).await {
+            let detail = format!("{} has used up its rate: {cause}", customer.id);
             let refused = Refused::new(StatusCode::TOO_MANY_REQUESTS, "over-rate", detail);
             return Err(Refused { retry: Some(RETRY_RATE), ..refused });
         }
--- a/src/front/rates.rs
+++ b/src/front/rates.rs
@@ -197,7 +197,10 @@
 }
 
 /// Takes a token of `customer`, waiting a little if there is none at hand.
-pub(crate) async fn take(front: &Front, customer: &Customer) -> bool {
+///
+/// # Errors
+/// Says why there is none.
+pub(crate) async fn take(front: &Front, customer: &Customer) -> Result<(), &'static str> {
     let start = clock::now();
     let young = start.saturating_sub(front.started) < START_TIME;
     let until = start + if young { START_WAIT } else { TOKEN_WAIT };
@@ -207,13 +210,16 @@
         let now = clock::now();
         let spend = front.known.parts().purse.spend(now, customer, first);
         if spend == Spend::Taken {
-            return true;
+            return Ok(());
         }
         first = false;
         front.thirsty.notify_one();
+        if spend == Spend::Short {
+            return Err("the pool has just given too few tokens");
+        }
         let left = until.saturating_sub(now);
-        if spend == Spend::Short || left.is_zero() || timeout(left, filled).await.is_err() {
-            return false;
+        if left.is_zero() || timeout(left, filled).await.is_err() {
+            return Err("no tokens came in time");
         }
     }
 }
