--- a/src/front/attempt.rs
+++ b/src/front/attempt.rs
@@ -77,7 +77,7 @@
         // Noted before it is sent: a timeout ends the attempt here.
         let _ = write!(trail.targets, "{} in {}: ", pick.id, pick.region);
         let ended = send(front, &admitted, &pick, body).await;
-        note_end(trail, &ended);
+        note_end(front, &pick, trail, &ended);
         match judge(front, &admitted, &pick, ended, &mut history) {
             Next::Return(response) => return Ok(response),
             Next::Refuse(reason) => return Err(history.refuse(reason, "")),
@@ -276,6 +276,7 @@
         let now = clock::now();
         let mut parts = self.front.known.parts();
         if !self.ended {
+            self.front.metrics.attempt(self.pick.zone.as_str(), "cut");
             let due = now + TIMER_GRAIN >= self.due;
             parts.book.cut(now, self.pick, now.saturating_sub(self.start), due);
         }
@@ -319,7 +320,15 @@
     Ok(request)
 }
 
-fn note_end(trail: &mut Trail, ended: &Ended) {
+fn note_end(front: &Front, pick: &Pick, trail: &mut Trail, ended: &Ended) {
+    let outcome = match ended {
+        Ended::Answered(_) => "answered",
+        Ended::NotRun { .. } => "not run",
+        Ended::Failed(_) => "failed",
+        Ended::Unreached(_) => "unreached",
+        Ended::Lost(_) => "lost",
+    };
+    front.metrics.attempt(pick.zone.as_str(), outcome);
     let what = match ended {
         Ended::Answered(r) | Ended::Failed(r) => r.status().to_string(),
         Ended::NotRun { status } => format!("not run ({status})"),
--- a/src/front/ingress.rs
+++ b/src/front/ingress.rs
@@ -286,7 +286,7 @@
     ) {
         let now = clock::now();
         let outcome = Outcome { status: status.as_u16(), reason: reason.to_owned() };
-        self.metrics.ended(outcome, took);
+        self.metrics.ended(outcome, trail, took);
         let age = self.known.parts().feeds[Feed::Table as usize].age(now).unwrap_or_default();
         let ended = Ended {
             id: &trail.id,
--- a/src/front/metrics.rs
+++ b/src/front/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and latencies, served as text.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -19,6 +20,7 @@
 use crate::net::{Respond, bytes_response, text_response};
 
 use super::Front;
+use super::request::Trail;
 
 /// Bounds of the latency histogram's buckets, in seconds.
 const LATENCY_BUCKETS: [f64; 10] = [0.01, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 2.0, 4.0];
@@ -30,10 +32,51 @@
     pub(crate) reason: String,
 }
 
+/// Routes and customers that have counters of their own; others share one.
+const NAMES_MAX: usize = 64;
+/// The label of those that share one.
+const OTHERS: &str = "others";
+
+/// How the requests of one route or customer ended.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Share {
+    name: String,
+    outcome: &'static str,
+}
+
+/// How an attempt at a target in a zone ended.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Sent {
+    zone: String,
+    outcome: &'static str,
+}
+
+/// Counters by name, for a bounded number of names.
+#[derive(Default)]
+struct Shares {
+    counters: Family<Share, Counter>,
+    names: Mutex<HashSet<String>>,
+}
+
+impl Shares {
+    fn count(&self, name: &str, outcome: &'static str) {
+        let mut names = self.names.lock().expect("names lock");
+        let own = names.contains(name) || names.len() < NAMES_MAX;
+        if own && !names.contains(name) {
+            names.insert(name.to_owned());
+        }
+        let name = if own { name } else { OTHERS }.to_owned();
+        self.counters.get_or_create(&Share { name, outcome }).inc();
+    }
+}
+
 /// The metrics of a front.
 pub(crate) struct FrontMetrics {
     registry: Mutex<Registry>,
     requests: Family<Outcome, Counter>,
+    routes: Shares,
+    customers: Shares,
+    attempts: Family<Sent, Counter>,
     latency: Histogram,
     pub(crate) retries: Counter,
     pub(crate) probes: Counter,
@@ -49,6 +92,9 @@
         let mut registry = Registry::with_prefix("shallotstall");
         let metrics = Self {
             requests: Family::default(),
+            routes: Shares::default(),
+            customers: Shares::default(),
+            attempts: Family::default(),
             latency: Histogram::new(LATENCY_BUCKETS),
             retries: Counter::default(),
             probes: Counter::default(),
@@ -60,6 +106,12 @@
             registry: Mutex::default(),
         };
         registry.register("requests", "Requests by how they ended", metrics.requests.clone());
+        let shares = metrics.routes.counters.clone();
+        registry.register("route_requests", "Requests of each route by outcome", shares);
+        let shares = metrics.customers.counters.clone();
+        registry.register("customer_requests", "Requests of each customer by outcome", shares);
+        let help = "Attempts at targets, by the target's zone and outcome";
+        registry.register("attempts", help, metrics.attempts.clone());
         registry.register(
             "request_seconds",
             "Time from a request's head to its answer's",
@@ -76,11 +128,23 @@
     }
 
     /// Counts the end of a request.
-    pub(crate) fn ended(&self, outcome: Outcome, took: Duration) {
+    pub(crate) fn ended(&self, outcome: Outcome, trail: &Trail, took: Duration) {
+        let share = match outcome.status {
+            200..400 => "served",
+            408 | 421 | 429 | 503 => "refused",
+            _ => "failed",
+        };
+        self.routes.count(&trail.route, share);
+        self.customers.count(&trail.customer, share);
         self.requests.get_or_create(&outcome).inc();
         self.latency.observe(took.as_secs_f64());
     }
 
+    /// Counts the end of an attempt at a target in `zone`.
+    pub(crate) fn attempt(&self, zone: &str, outcome: &'static str) {
+        self.attempts.get_or_create(&Sent { zone: zone.to_owned(), outcome }).inc();
+    }
+
     fn text(&self, front: &Front) -> String {
         let now = clock::now();
         let age = front.known.table_age(now).map_or(-1, |a| a.as_millis() as i64);
--- a/src/steer/choice.rs
+++ b/src/steer/choice.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::affinity::Fingerprint;
-use crate::model::{RegionId, ServiceId, TargetId};
+use crate::model::{RegionId, ServiceId, TargetId, ZoneId};
 
 /// What a request needs of a target.
 #[derive(Clone, Copy, Debug)]
@@ -43,6 +43,8 @@
     pub id: TargetId,
     /// Where it listens.
     pub addr: SocketAddr,
+    /// Its zone.
+    pub zone: ZoneId,
     /// Its region.
     pub region: RegionId,
     /// Requests before this one for each slot, beyond those that run.
--- a/src/steer/targets.rs
+++ b/src/steer/targets.rs
@@ -205,6 +205,7 @@
         Picked::Target(Pick {
             id: id.clone(),
             addr: known.entry.addr,
+            zone: known.entry.zone.clone(),
             region: known.region.clone(),
             queue: known.load.queue(now),
         })
