--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -2,8 +2,9 @@
 //!
 //! [`Table`] says which requests are allowed and where they may run, [`Replica`] holds what the
 //! store last said and hands changes on, [`TargetBook`] chooses targets by [`rank`]ing them for an
-//! object, [`Purse`] and [`Pool`] share each customer's rate over the fleet, [`Retries`] bounds
-//! what is sent twice, and [`Fleet`] says whom to ask and whom to name to callers.
+//! object, within windows of its own requests and with room for customers bound to a region,
+//! [`Purse`] and [`Pool`] share each customer's rate over the fleet, [`Retries`] bounds what is sent
+//! twice, and [`Fleet`] says whom to ask and whom to name to callers.
 //!
 //! All times are given as time since the machine's start ([`crate::clock::now`]).
 
--- a/src/steer/reserve.rs
+++ b/src/steer/reserve.rs
@@ -5,12 +5,12 @@
 
 use crate::model::{RegionId, ServiceId};
 
-/// Demand of customers that are bound to a region, by their part of all rates. Their requests also
-/// make the targets' caches colder than those of others.
+/// How heavily demand that is bound to a region counts: it fills the targets' caches, too.
 const BOUND_WEIGHT: f64 = 1.5;
 /// Least part of their size with which targets of a region count for requests that are not bound.
 const SIZE_MIN: f64 = 0.05;
-/// Most by which that part changes in a second, as a part of itself; few objects move at a time.
+/// Most by which that part changes in a second, as a part of itself, so that few objects move at a
+/// time.
 const SLEW: f64 = 0.1;
 
 /// How much of their size the targets of each region have for requests that are not bound to it.
