Read headers, hop headers and answers in one place each; time an attempt where it is made

Found by reading the whole change once more; behaviour stays as it is. - net/headers.rs reads a header's text and says which headers end at a hop; the daemon, the fronts and the store's client had nine copies of the one and two lists of the other. The fronts' list of two proxy headers and the daemon's four of its own stay beside their users. - A request's timeout is set around the one attempt that can outlast it, in place of around all of them, so that what was cut by it needn't be inferred from the clock when a future is dropped. - Regions' sizes are no longer cloned at each choice; one flag of the reserve is derived. Dead: Match, Replica::fresh, LiveVm's export.

--- a/src/front/answer.rs
+++ b/src/front/answer.rs
@@ -5,18 +5,22 @@
 
 use bytes::Bytes;
 use gotham::helpers::http::Body;
-use http::{HeaderMap, Response, StatusCode, Version};
+use http::header::{PROXY_AUTHENTICATE, PROXY_AUTHORIZATION};
+use http::{HeaderMap, HeaderName, Response, StatusCode, Version};
 use http_body_util::BodyExt;
 use hyper::body::{Frame, Incoming, SizeHint};
 
-use crate::net::{connection_listed, whole_body};
+use crate::net::{connection_listed, ends_at_hop, header_text, whole_body};
 
+use super::Headers;
 use super::outbound::{Lease, read_up_to};
-use super::{Headers, is_hop_header};
 
 /// Longest answer that is read whole before it is passed on, in bytes.
 const HELD_ANSWER: usize = 128 << 10;
 
+/// Headers between a client and a proxy; a front is neither.
+const PROXY_HEADERS: [HeaderName; 2] = [PROXY_AUTHENTICATE, PROXY_AUTHORIZATION];
+
 /// What became of one attempt.
 pub(crate) enum Ended {
     /// The answer to pass on.
@@ -41,7 +45,7 @@
     let (mut head, mut body) = response.into_parts();
     let not_run =
         head.headers.contains_key(&names.not_run) || head.status == StatusCode::MISDIRECTED_REQUEST;
-    let echoed = head.headers.get(&names.attempt).and_then(|v| v.to_str().ok());
+    let echoed = header_text(&head.headers, &names.attempt);
     if echoed.is_some_and(|id| id != attempt) {
         return Ended::Lost("the answer belongs to another request".to_owned());
     }
@@ -74,10 +78,10 @@
 
 /// The headers that go on: all but those of one connection.
 pub(crate) fn forwarded(headers: &HeaderMap) -> HeaderMap {
-    let named = connection_listed(headers);
+    let listed = connection_listed(headers);
     let mut out = HeaderMap::with_capacity(headers.len() + 3);
     for (name, value) in headers {
-        if !is_hop_header(name) && !named.iter().any(|n| n == name.as_str()) {
+        if !ends_at_hop(name, &listed) && !PROXY_HEADERS.contains(name) {
             out.append(name.clone(), value.clone());
         }
     }
--- a/src/front/attempt.rs
+++ b/src/front/attempt.rs
@@ -13,10 +13,11 @@
 use hyper::body::Frame;
 use serde::Serialize;
 use tokio::net::TcpStream;
+use tokio::time::timeout;
 
 use crate::clock;
 use crate::model::TargetId;
-use crate::net::whole_body;
+use crate::net::{header_text, whole_body};
 use crate::peer::Death;
 use crate::steer::{Choice, Pick, Picked};
 
@@ -29,8 +30,6 @@
 const LEFT_MIN: Duration = Duration::from_millis(30);
 /// Longest wait for a connection to a target that broke off an answer.
 const EXAMINE_TIMEOUT: Duration = Duration::from_millis(400);
-/// A request that is cut this close to its time is cut by its timeout.
-const TIMER_GRAIN: Duration = Duration::from_millis(5);
 /// Most targets that may fail to be reached before a request is given up.
 const UNREACHED_MAX: u32 = 4;
 
@@ -74,10 +73,7 @@
         let Some(body) = take_body(&mut content) else {
             return Err(history.refuse("body-gone", "the body can't be sent again"));
         };
-        // Noted before it is sent: a timeout ends the attempt here.
-        let _ = write!(trail.targets, "{} in {}: ", pick.id, pick.region);
-        let ended = send(front, &admitted, &pick, body).await;
-        note_end(front, &pick, trail, &ended);
+        let ended = attempt(front, &admitted, &pick, body, trail).await?;
         match judge(front, &admitted, &pick, ended, &mut history) {
             Next::Return(response) => return Ok(response),
             Next::Refuse(reason) => return Err(history.refuse(reason, "")),
@@ -92,6 +88,29 @@
     }
 }
 
+/// Sends a request once; fails if its time is over before the answer is there.
+async fn attempt(
+    front: &Front,
+    admitted: &Admitted,
+    pick: &Pick,
+    body: Body,
+    trail: &mut Trail,
+) -> Result<Ended, Refused> {
+    // Noted before it is sent: the end of its time and its caller's leaving end it here.
+    let _ = write!(trail.targets, "{} in {}: ", pick.id, pick.region);
+    let mut running = Running::new(front, pick);
+    let left = admitted.due.saturating_sub(clock::now());
+    let Ok(ended) = timeout(left, send(front, admitted, pick, body)).await else {
+        running.cut(true);
+        let timeout_ms = admitted.route.timeout_ms;
+        let detail = format!("no answer within the route's {timeout_ms} ms or the deadline");
+        return Err(Refused::new(StatusCode::GATEWAY_TIMEOUT, "timeout", detail));
+    };
+    running.end(matches!(ended, Ended::Answered(_)));
+    note_end(front, pick, trail, &ended);
+    Ok(ended)
+}
+
 enum Next {
     Return(Response<Body>),
     Refuse(&'static str),
@@ -211,31 +230,21 @@
         Ok(request) => request,
         Err(cause) => return Ended::Unreached(cause),
     };
-    let mut running = Running::new(front, pick, admitted.due);
-    let sent = front.outbound.send(pick.addr, request, true).await;
-    match sent {
+    match front.outbound.send(pick.addr, request, true).await {
         Ok((response, lease)) => {
             note_load(front, pick, response.headers());
-            let ended = receive(&front.headers, &admitted.id, response, lease).await;
-            running.end(matches!(ended, Ended::Answered(_)));
-            ended
+            receive(&front.headers, &admitted.id, response, lease).await
         }
-        Err(e) => {
-            running.end(false);
-            match e {
-                SendFailure { sent: false, step, peer, cause } => {
-                    Ended::Unreached(format!("{step} at {peer}: {cause}"))
-                }
-                e => Ended::Lost(e.to_string()),
-            }
+        Err(SendFailure { sent: false, step, peer, cause }) => {
+            Ended::Unreached(format!("{step} at {peer}: {cause}"))
         }
+        Err(e) => Ended::Lost(e.to_string()),
     }
 }
 
 /// Takes in what a target says of its load: running and waiting requests, and slots.
 fn note_load(front: &Front, pick: &Pick, headers: &HeaderMap) {
-    let value = headers.get(&front.headers.load).and_then(|v| v.to_str().ok());
-    let Some(value) = value else { return };
+    let Some(value) = header_text(headers, &front.headers.load) else { return };
     let mut figures = value.split(',').map(|f| f.trim().parse::<u32>().ok());
     if let (Some(Some(running)), Some(Some(waiting))) = (figures.next(), figures.next()) {
         let requests = running.saturating_add(waiting);
@@ -243,21 +252,18 @@
     }
 }
 
-/// Counts a request at its target. Dropped before its end, it was cut: by its timeout, or
-/// because the caller has left.
+/// Counts a request at its target. Dropped before its end, it was cut because its caller has left.
 struct Running<'a> {
     front: &'a Front,
     pick: &'a Pick,
     start: Duration,
-    /// When the answer is due.
-    due: Duration,
     ended: bool,
 }
 
 impl<'a> Running<'a> {
-    fn new(front: &'a Front, pick: &'a Pick, due: Duration) -> Self {
+    fn new(front: &'a Front, pick: &'a Pick) -> Self {
         front.known.parts().book.sent(&pick.id);
-        Self { front, pick, start: clock::now(), due, ended: false }
+        Self { front, pick, start: clock::now(), ended: false }
     }
 
     /// Learns that the target is done with the request.
@@ -269,18 +275,23 @@
             self.front.known.parts().book.took(now, self.pick, took);
         }
     }
+
+    /// Learns that the request is cut: since it was `due`, or else because its caller has left.
+    fn cut(&mut self, due: bool) {
+        self.ended = true;
+        self.front.metrics.attempt(self.pick.zone.as_str(), "cut");
+        let now = clock::now();
+        let waited = now.saturating_sub(self.start);
+        self.front.known.parts().book.cut(now, self.pick, waited, due);
+    }
 }
 
 impl Drop for Running<'_> {
     fn drop(&mut self) {
-        let now = clock::now();
-        let mut parts = self.front.known.parts();
         if !self.ended {
-            self.front.metrics.attempt(self.pick.zone.as_str(), "cut");
-            let due = now + TIMER_GRAIN >= self.due;
-            parts.book.cut(now, self.pick, now.saturating_sub(self.start), due);
+            self.cut(false);
         }
-        parts.book.ended(&self.pick.id);
+        self.front.known.parts().book.ended(&self.pick.id);
     }
 }
 
@@ -342,7 +353,7 @@
 /// Looks whether a target that broke off an answer has died of the request.
 async fn examine(front: Arc<Front>, pick: Pick, poison: Option<String>, id: String) {
     let connect = TcpStream::connect(pick.addr);
-    let gone = match tokio::time::timeout(EXAMINE_TIMEOUT, connect).await {
+    let gone = match timeout(EXAMINE_TIMEOUT, connect).await {
         Ok(Ok(_)) => return,
         Ok(Err(e)) => e.kind() == std::io::ErrorKind::ConnectionRefused,
         Err(_) => false,
--- a/src/front/ingress.rs
+++ b/src/front/ingress.rs
@@ -15,8 +15,8 @@
 
 use crate::clock;
 use crate::model::ServiceId;
-use crate::net::{Respond, text_response, whole_body};
-use crate::steer::{Access, Feed, Index, Part, fingerprint};
+use crate::net::{Respond, header_text, text_response, whole_body};
+use crate::steer::{Access, Index, Part, fingerprint};
 use crate::targets::Poison;
 
 use super::metrics::Outcome;
@@ -107,20 +107,18 @@
     trail: &mut Trail,
 ) -> Result<Response<Body>, Refused> {
     let (head, body) = request.into_parts();
-    let text = |name: &http::HeaderName| head.headers.get(name).and_then(|v| v.to_str().ok());
-    trail.id = text(&front.headers.attempt).unwrap_or_default().to_owned();
+    trail.id = header_text(&head.headers, &front.headers.attempt).unwrap_or_default().to_owned();
     if front.is_closed() {
         return Err(Refused::not_run("stopping", "this VM is about to stop"));
     }
     let index = await_index(front).await;
     let index = index.ok_or_else(|| Refused::not_run("no-table", "no configuration is known"))?;
-    let host = text(&HOST).or_else(|| head.uri.host());
+    let host = header_text(&head.headers, HOST).or_else(|| head.uri.host());
     let host =
         host.ok_or_else(|| Refused::new(StatusCode::BAD_REQUEST, "no-host", "Host is missing"))?;
-    let found = index.route(host, head.uri.path());
-    let route = found
-        .map(|m| m.route.clone())
-        .ok_or_else(|| Refused::new(StatusCode::NOT_FOUND, "no-route", "no route matches"))?;
+    let found = index.route(host, head.uri.path()).cloned();
+    let route =
+        found.ok_or_else(|| Refused::new(StatusCode::NOT_FOUND, "no-route", "no route matches"))?;
     trail.route.clone_from(&route.name);
     let access = index.access(&route, key_of(front, &head.headers));
     let customer = match access {
@@ -169,15 +167,7 @@
         due,
         poison,
     };
-    let left = admitted.due.saturating_sub(clock::now());
-    let timeout_ms = admitted.route.timeout_ms;
-    match tokio::time::timeout(left, attempt::run(front, admitted, content, trail)).await {
-        Ok(outcome) => outcome,
-        Err(_) => {
-            let detail = format!("no answer within the route's {timeout_ms} ms or the deadline");
-            Err(Refused::new(StatusCode::GATEWAY_TIMEOUT, "timeout", detail))
-        }
-    }
+    attempt::run(front, admitted, content, trail).await
 }
 
 /// The configuration; a process that has just started waits a little for it.
@@ -194,14 +184,14 @@
 
 /// The key that a caller shows.
 fn key_of<'a>(front: &Front, headers: &'a HeaderMap) -> Option<&'a str> {
-    let value = headers.get(AUTHORIZATION)?.to_str().ok()?;
+    let value = header_text(headers, AUTHORIZATION)?;
     let (scheme, key) = value.split_once(' ')?;
     scheme.eq_ignore_ascii_case(&front.headers.key_scheme).then_some(key.trim())
 }
 
 fn check_size(headers: &HeaderMap, index: &Index) -> Result<(), Refused> {
     let bounds = index.table().bounds;
-    let length = headers.get(CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse::<u64>().ok());
+    let length = header_text(headers, CONTENT_LENGTH).and_then(|v| v.parse::<u64>().ok());
     if length.is_some_and(|l| l > bounds.body_bytes) {
         return Err(Refused::new(
             StatusCode::PAYLOAD_TOO_LARGE,
@@ -221,7 +211,7 @@
 fn check_age(front: &Front, now: Duration) -> Result<(), Refused> {
     let bounds = &front.config.bounds;
     let age = front.known.table_age(now).unwrap_or(Duration::MAX);
-    if bounds.fail_closed && age + REVOKE_MARGIN > bounds.revoke.0 {
+    if bounds.fail_closed && age.saturating_add(REVOKE_MARGIN) > bounds.revoke.0 {
         let detail = format!("no news of withdrawn keys for {} ms", age.as_millis());
         return Err(Refused::not_run("keys-old", detail));
     }
@@ -230,7 +220,7 @@
 
 /// How long the caller waits.
 fn patience(front: &Front, headers: &HeaderMap) -> Duration {
-    let value = headers.get(&front.headers.deadline).and_then(|v| v.to_str().ok()?.parse().ok());
+    let value = header_text(headers, &front.headers.deadline).and_then(|v| v.parse().ok());
     value.map_or(Duration::MAX / 4, Duration::from_millis)
 }
 
@@ -287,7 +277,7 @@
         let now = clock::now();
         let outcome = Outcome { status: status.as_u16(), reason: reason.to_owned() };
         self.metrics.ended(outcome, trail, took);
-        let age = self.known.parts().feeds[Feed::Table as usize].age(now).unwrap_or_default();
+        let age = self.known.table_age(now).unwrap_or_default();
         let ended = Ended {
             id: &trail.id,
             route: &trail.route,
--- a/src/front/metrics.rs
+++ b/src/front/metrics.rs
@@ -61,10 +61,8 @@
 impl Shares {
     fn count(&self, name: &str, outcome: &'static str) {
         let mut names = self.names.lock().expect("names lock");
-        let own = names.contains(name) || names.len() < NAMES_MAX;
-        if own && !names.contains(name) {
-            names.insert(name.to_owned());
-        }
+        let own =
+            names.contains(name) || (names.len() < NAMES_MAX && names.insert(name.to_owned()));
         let name = if own { name } else { OTHERS }.to_owned();
         self.counters.get_or_create(&Share { name, outcome }).inc();
     }
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -24,7 +24,6 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
-use http::HeaderName;
 use tokio::sync::Notify;
 
 use crate::model::Place;
@@ -87,19 +86,3 @@
         !self.is_leaving() && self.known.index().is_some()
     }
 }
-
-/// Headers that concern one connection only.
-pub(crate) fn is_hop_header(name: &HeaderName) -> bool {
-    const HOP: [&str; 9] = [
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    ];
-    HOP.contains(&name.as_str())
-}
--- a/src/front/news.rs
+++ b/src/front/news.rs
@@ -1,6 +1,7 @@
 //! Follows the store: one entry VM of a region reads it, the heads of the region's zones ask that
 //! one, and the others ask the head of their zone.
 
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -10,8 +11,8 @@
 
 use crate::clock;
 use crate::model::VmId;
-use crate::peer::{Body, PeerError, Sync, Synced};
-use crate::steer::{Feed, VmEntry};
+use crate::peer::{Body, Sync, Synced};
+use crate::steer::{Delta, Feed, VmEntry};
 
 use super::Front;
 
@@ -240,24 +241,16 @@
     let addr = front.peer_addr(others[turn % others.len()]);
     let sent = clock::now();
     let anyone = VmId::default();
-    let answer = front.sessions.call(&anyone, addr, sync_message(front), FAR_TIMEOUT).await;
-    match answer {
-        Ok(Body::Synced(news)) => front.take_news(news, sent, "seed"),
-        Ok(_) => log::debug!("news: {addr} sent no news."),
-        Err(e) => log::debug!("news: {e}."),
+    match call(front, &anyone, addr, FAR_TIMEOUT).await {
+        Ok(news) => front.take_news(news, sent, "seed"),
+        Err(e) => log::debug!("news: {addr} gave none: {e}."),
     }
 }
 
 async fn ask(front: &Front, vm: &VmId, timeout: Duration) {
     let Some(addr) = front.known.parts().fleet.entry(vm).map(|e| e.peers) else { return };
     let sent = clock::now();
-    let answer = front.sessions.call(vm, addr, sync_message(front), timeout).await;
-    let answered = |answer: Result<Body, PeerError>| match answer {
-        Ok(Body::Synced(news)) => Ok(news),
-        Ok(_) => Err("it sent no news".to_owned()),
-        Err(e) => Err(e.to_string()),
-    };
-    match answered(answer) {
+    match call(front, vm, addr, timeout).await {
         Ok(news) => {
             let (leaving, unread) = (news.leaving, news.unread);
             front.take_news(news, sent, vm.as_str());
@@ -278,10 +271,21 @@
     }
 }
 
-fn sync_message(front: &Front) -> Body {
+/// Asks the VM at `addr` for news.
+async fn call(
+    front: &Front,
+    vm: &VmId,
+    addr: SocketAddr,
+    timeout: Duration,
+) -> Result<Synced, String> {
     let marks = front.known.parts().feeds.iter().map(|f| f.mark()).collect();
     let callers = front.config.listen.callers.to_string();
-    Body::Sync(Sync { marks, callers, serving: front.is_serving() })
+    let question = Body::Sync(Sync { marks, callers, serving: front.is_serving() });
+    match front.sessions.call(vm, addr, question, timeout).await {
+        Ok(Body::Synced(news)) => Ok(news),
+        Ok(_) => Err("it sent no news".to_owned()),
+        Err(e) => Err(e.to_string()),
+    }
 }
 
 impl Front {
@@ -298,7 +302,7 @@
     }
 
     /// Takes in news of a feed that were true at `fresh`.
-    fn offer(&self, feed: Feed, delta: crate::steer::Delta, fresh: Duration, from: &str) {
+    fn offer(&self, feed: Feed, delta: Delta, fresh: Duration, from: &str) {
         let now = clock::now();
         let Some(version) = self.known.offer(now, feed, delta, fresh) else { return };
         let age_ms = now.saturating_sub(fresh).as_millis() as u64;
@@ -308,7 +312,7 @@
     }
 
     /// The address for sessions of the VM at `ip`.
-    pub(crate) fn peer_addr(&self, ip: std::net::IpAddr) -> std::net::SocketAddr {
+    pub(crate) fn peer_addr(&self, ip: IpAddr) -> SocketAddr {
         (ip, self.config.peers.port).into()
     }
 }
--- a/src/front/outbound.rs
+++ b/src/front/outbound.rs
@@ -17,7 +17,7 @@
 use tokio::task::AbortHandle;
 
 use crate::clock;
-use crate::net::connection_listed;
+use crate::net::{connection_listed, header_text};
 
 /// Longest time to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
@@ -25,6 +25,8 @@
 const UNACKNOWLEDGED_MAX: Duration = Duration::from_millis(1_200);
 /// Silence after which the kernel checks that the other end still knows the connection.
 const KEEPALIVE: Duration = Duration::from_secs(1);
+/// Checks without an answer after which a connection is lost.
+const KEEPALIVE_TRIES: u32 = 2;
 /// Longest time for which an idle connection is kept.
 const IDLE_MAX: Duration = Duration::from_secs(6);
 /// Time by which a connection is given up before the target's own limit.
@@ -201,7 +203,7 @@
     let socket = SockRef::from(stream);
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_MAX))?;
     let keepalive = TcpKeepalive::new().with_time(KEEPALIVE).with_interval(KEEPALIVE);
-    socket.set_tcp_keepalive(&keepalive.with_retries(2))
+    socket.set_tcp_keepalive(&keepalive.with_retries(KEEPALIVE_TRIES))
 }
 
 /// How long a connection may be idle after an answer with these headers.
@@ -209,9 +211,7 @@
     if connection_listed(headers).iter().any(|w| w == "close") {
         return Duration::ZERO;
     }
-    let timeout = headers
-        .get("keep-alive")
-        .and_then(|v| v.to_str().ok())
+    let timeout = header_text(headers, "keep-alive")
         .and_then(|v| v.split(',').find_map(|p| p.trim().strip_prefix("timeout=")?.parse().ok()))
         .map(Duration::from_secs);
     timeout.map_or(IDLE_MAX, |t| t.saturating_sub(IDLE_MARGIN).min(IDLE_MAX))
--- a/src/front/probes.rs
+++ b/src/front/probes.rs
@@ -9,7 +9,7 @@
 
 use crate::clock;
 use crate::model::{ServiceId, TargetId};
-use crate::net::whole_body;
+use crate::net::{header_text, whole_body};
 
 use super::Front;
 
@@ -65,14 +65,15 @@
         .map_err(|e| e.to_string())?;
     let (response, _lease) =
         front.outbound.send(addr, request, false).await.map_err(|e| e.to_string())?;
-    let text =
-        |name| response.headers().get(name).and_then(|v: &http::HeaderValue| v.to_str().ok());
-    if text(&front.headers.instance) != Some(id.as_str()) {
+    let headers = response.headers();
+    if header_text(headers, &front.headers.instance) != Some(id.as_str()) {
         return Err("another target answered".to_owned());
     }
     if !response.status().is_success() {
         return Err(format!("status {}", response.status()));
     }
-    let cold = text(&front.headers.cold).and_then(|v| v.parse::<f64>().ok()).unwrap_or(0.0);
+    let cold = header_text(headers, &front.headers.cold)
+        .and_then(|v| v.parse::<f64>().ok())
+        .unwrap_or(0.0);
     Ok(Duration::from_secs_f64(cold.clamp(0.0, 600_000.0) / 1_000.0))
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,7 +6,7 @@
 mod tls;
 
 pub use client::{HttpClient, HttpError};
-pub(crate) use headers::connection_listed;
+pub(crate) use headers::{connection_listed, ends_at_hop, header_text};
 pub use serve::{
     Respond, ServeBounds, Server, bytes_response, json_response, text_response, whole_body,
 };
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -11,7 +11,7 @@
 use http::{HeaderValue, Request, Response};
 
 use crate::model::{Account, CustomerId, CutOff, Document, RegionId, Route, ServiceId};
-use crate::net::Respond;
+use crate::net::{Respond, header_text};
 use crate::plan::Plan;
 use crate::route::RetryBudget;
 use crate::targets::Poison;
@@ -133,8 +133,7 @@
     let id = node.records.next_id(node.me.vm.as_str(), node.me.incarnation);
     let mut trail = Trail::new(id.clone());
     let active = Active::new(node);
-    let parent =
-        request.headers().get("traceparent").and_then(|v| v.to_str().ok()).and_then(SpanId::parse);
+    let parent = header_text(request.headers(), "traceparent").and_then(SpanId::parse);
     let span = parent.as_ref().map_or_else(SpanId::root, SpanId::child);
     let outcome = match admit(node, request, &mut trail, span.clone()) {
         Ok(admitted) if admitted.once.is_some() => {
--- a/src/node/once.rs
+++ b/src/node/once.rs
@@ -6,6 +6,7 @@
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Response, StatusCode};
 
+use crate::net::header_text;
 use crate::once::{Claim, ClaimState, OnceKey, Reply, Verdict, keeps_body};
 
 use super::ingress::Admitted;
@@ -88,7 +89,7 @@
 }
 
 fn reply_of(response: &Response<Bytes>) -> Reply {
-    let kind = response.headers().get(CONTENT_TYPE).and_then(|v| v.to_str().ok());
+    let kind = header_text(response.headers(), CONTENT_TYPE);
     let body = keeps_body(response.body().len()).then(|| STANDARD.encode(response.body()));
     Reply { status: response.status().as_u16(), kind: kind.unwrap_or_default().to_owned(), body }
 }
--- a/src/node/operators.rs
+++ b/src/node/operators.rs
@@ -12,7 +12,7 @@
 use subtle::ConstantTimeEq;
 
 use crate::model::VmId;
-use crate::net::{Respond, bytes_response, json_response, text_response};
+use crate::net::{Respond, bytes_response, header_text, json_response, text_response};
 use crate::peer::{Body, Explain};
 
 use super::changes::{self, Changed, OperatorError};
@@ -33,8 +33,7 @@
     }
 
     fn is_allowed(&self, request: &Request<Bytes>) -> bool {
-        let header = request.headers().get(http::header::AUTHORIZATION);
-        let text = header.and_then(|v| v.to_str().ok()).unwrap_or_default();
+        let text = header_text(request.headers(), http::header::AUTHORIZATION).unwrap_or_default();
         let given = Sha256::digest(text.strip_prefix("Bearer ").unwrap_or_default().as_bytes());
         self.token.as_slice().ct_eq(given.as_slice()).into()
     }
--- a/src/node/sanitize.rs
+++ b/src/node/sanitize.rs
@@ -5,7 +5,7 @@
 use memchr::memmem;
 use percent_encoding::percent_decode;
 
-use crate::net::connection_listed;
+use crate::net::{connection_listed, ends_at_hop};
 use crate::peer::Field;
 
 use super::refusal::{Reason, Refusal};
@@ -15,20 +15,8 @@
 /// Every issued key starts so.
 const KEY_PREFIX: &str = "ssk_";
 
-/// Headers that end at this hop.
-const HOP_HEADERS: [&str; 11] = [
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "content-length",
-    "host",
-    "expect",
-    "http2-settings",
-];
+/// Headers that the sessions between entry VMs carry in another form, or that end here.
+const LEFT_OUT: [&str; 4] = ["content-length", "host", "expect", "http2-settings"];
 
 /// Headers that only this system sets.
 const OWN_HEADERS: [&str; 6] = [
@@ -130,7 +118,7 @@
 }
 
 fn is_end_to_end(name: &HeaderName, listed: &[String]) -> bool {
-    !HOP_HEADERS.contains(&name.as_str()) && !listed.iter().any(|l| l == name.as_str())
+    !ends_at_hop(name, listed) && !LEFT_OUT.contains(&name.as_str())
 }
 
 /// True if `text` holds this key or anything that looks like an issued one, also when it is
--- a/src/peer/steering.rs
+++ b/src/peer/steering.rs
@@ -231,7 +231,6 @@
 impl WireWant {
     /// The want; figures that are no amounts count as nothing.
     pub fn to_want(&self) -> Want {
-        let amount = |x: f32| if x.is_finite() { f64::from(x).max(0.0) } else { 0.0 };
         Want {
             customer: CustomerId::new(&self.customer),
             tokens: amount(self.tokens),
@@ -249,7 +248,11 @@
 impl WireGrant {
     /// The grant; a figure that is no amount counts as nothing.
     pub fn to_grant(&self) -> Grant {
-        let tokens = if self.tokens.is_finite() { f64::from(self.tokens).max(0.0) } else { 0.0 };
-        Grant { customer: CustomerId::new(&self.customer), tokens }
+        Grant { customer: CustomerId::new(&self.customer), tokens: amount(self.tokens) }
     }
 }
+
+/// A figure as an amount; one that is none counts as nothing.
+fn amount(figure: f32) -> f64 {
+    if figure.is_finite() { f64::from(figure).max(0.0) } else { 0.0 }
+}
--- a/src/steer/fleet.rs
+++ b/src/steer/fleet.rs
@@ -49,9 +49,17 @@
     pub age: Duration,
 }
 
+/// A VM that has an entry.
+#[derive(Clone, Debug)]
+struct Member {
+    entry: VmEntry,
+    /// Of its name.
+    hash: Fingerprint,
+}
+
 /// A VM that was heard of.
 #[derive(Clone, Debug)]
-pub struct LiveVm {
+struct LiveVm {
     zone: ZoneId,
     callers: SocketAddr,
     serving: bool,
@@ -64,7 +72,7 @@
     me: VmId,
     place: Place,
     regions: BTreeMap<ZoneId, RegionId>,
-    vms: BTreeMap<VmId, VmEntry>,
+    vms: BTreeMap<VmId, Member>,
     live: BTreeMap<VmId, LiveVm>,
     /// VMs that did not answer, until when they are passed over.
     silent: BTreeMap<VmId, Duration>,
@@ -79,7 +87,8 @@
 
     /// Takes in the entry of a VM.
     pub fn put(&mut self, vm: VmId, entry: VmEntry) {
-        self.vms.insert(vm, entry);
+        let hash = name_hash(&vm);
+        self.vms.insert(vm, Member { entry, hash });
     }
 
     /// Learns that a VM has no entry any more.
@@ -99,7 +108,7 @@
 
     /// The entry of a VM.
     pub fn entry(&self, vm: &VmId) -> Option<&VmEntry> {
-        self.vms.get(vm)
+        self.vms.get(vm).map(|m| &m.entry)
     }
 
     /// Hears of VMs.
@@ -144,8 +153,8 @@
 
     /// The head of a zone: the first in the zone's order that answers.
     pub fn head_of(&self, now: Duration, zone: &ZoneId) -> Option<VmId> {
-        let members = self.vms.iter().filter(|(_, e)| e.place.zone == *zone);
-        self.first(now, HEAD_ORDER, members.map(|(vm, _)| vm))
+        let members = self.vms.iter().filter(|(_, m)| m.entry.place.zone == *zone);
+        self.first(now, HEAD_ORDER, members)
     }
 
     /// The head of this VM's zone.
@@ -167,25 +176,25 @@
         }
         let zones = self.regions.keys().filter(|z| self.is_near(z));
         let heads: Vec<VmId> = zones.filter_map(|z| self.head_of(now, z)).collect();
-        self.first(now, HEAD_ORDER, heads.iter())
+        self.first(now, HEAD_ORDER, heads.iter().filter_map(|vm| self.vms.get_key_value(vm)))
     }
 
     /// The VM that pools the rates.
     pub fn pool(&self, now: Duration) -> Option<VmId> {
-        self.first(now, POOL_ORDER, self.vms.keys())
+        self.first(now, POOL_ORDER, self.vms.iter())
     }
 
     fn first<'a>(
         &self,
         now: Duration,
         order: &[u8],
-        members: impl Iterator<Item = &'a VmId>,
+        members: impl Iterator<Item = (&'a VmId, &'a Member)>,
     ) -> Option<VmId> {
         let order = fingerprint(order);
         members
-            .filter(|vm| self.silent.get(*vm).is_none_or(|until| *until <= now))
-            .max_by_key(|vm| rank(order, name_hash(vm)))
-            .cloned()
+            .filter(|(vm, _)| self.silent.get(*vm).is_none_or(|until| *until <= now))
+            .max_by_key(|(_, member)| rank(order, member.hash))
+            .map(|(vm, _)| vm.clone())
     }
 
     /// Other zones, those of this region first.
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -24,12 +24,12 @@
 pub use affinity::{Fingerprint, fingerprint, rank, sized_rank};
 pub use choice::{Choice, Pick, Picked};
 pub use entry::{TargetEntry, TargetState};
-pub use fleet::{Fleet, Heard, LiveVm, VmEntry};
+pub use fleet::{Fleet, Heard, VmEntry};
 pub use pool::{Grant, Pool, Want};
 pub use purse::{Purse, Spend, Stamp};
 pub use replica::{Delta, Feed, Item, Replica};
 pub use retries::{Retries, RetryBounds};
 pub use table::{
-    Access, Bounds, Customer, Index, KeyDigest, Match, Part, Route, Service, Table, key_digest,
+    Access, Bounds, Customer, Index, KeyDigest, Part, Route, Service, Table, key_digest,
 };
 pub use targets::{Sight, TargetBook};
--- a/src/steer/replica.rs
+++ b/src/steer/replica.rs
@@ -70,6 +70,7 @@
     /// Removals after this revision are all remembered.
     since: u64,
     mark: u64,
+    /// When the copy was surely true; none before the first.
     fresh: Option<Duration>,
 }
 
@@ -79,11 +80,6 @@
         self.mark
     }
 
-    /// The time at which the copy was surely true; none before the first.
-    pub fn fresh(&self) -> Option<Duration> {
-        self.fresh
-    }
-
     /// The copy's age.
     pub fn age(&self, now: Duration) -> Option<Duration> {
         self.fresh.map(|f| now.saturating_sub(f))
--- a/src/steer/reserve.rs
+++ b/src/steer/reserve.rs
@@ -16,52 +16,60 @@
 /// How much of their size the targets of each region have for requests that are not bound to it.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Reserve {
-    /// Each region's part of the demand, by the customers bound to it.
-    bound: HashMap<RegionId, f64>,
-    /// True once that is known.
-    started: bool,
+    /// Each region's part of the demand, by the customers bound to it; none until that is known.
+    bound: Option<HashMap<RegionId, f64>>,
     /// True once it has changed: what has been in use till then was the full size.
     moved: bool,
-    /// The sizes in use, and since when.
-    sizes: HashMap<(ServiceId, RegionId), (f64, Duration)>,
+    sizes: HashMap<ServiceId, Sizes>,
 }
 
+/// The size in use in each region, and since when.
+pub(crate) type Sizes = HashMap<RegionId, (f64, Duration)>;
+
 impl Reserve {
     /// Learns each region's part of the demand by customers that are bound to it.
     pub(crate) fn set(&mut self, bound: HashMap<RegionId, f64>) {
-        if bound != self.bound {
-            log::info!("targets: Demand bound to regions: {bound:?}.");
-            self.moved = self.started;
-            self.bound = bound;
+        if self.bound.as_ref() != Some(&bound) {
+            if !bound.is_empty() || self.bound.is_some() {
+                log::info!("targets: Demand bound to regions: {bound:?}.");
+            }
+            self.moved = self.bound.replace(bound).is_some();
         }
-        self.started = true;
     }
 
     /// True if no customer is bound to a region and none was.
     pub(crate) fn is_idle(&self) -> bool {
-        self.bound.is_empty() && self.sizes.is_empty()
+        self.bound.as_ref().is_none_or(HashMap::is_empty) && self.sizes.is_empty()
+    }
+
+    /// The sizes of a service, as last worked out.
+    pub(crate) fn sizes(&self, service: &ServiceId) -> Option<&Sizes> {
+        self.sizes.get(service)
     }
 
-    /// The part of their size with which a region's targets of a service count for requests that
-    /// are not bound to it. `slots` are those of the service in each region.
-    pub(crate) fn sizes<'a>(
+    /// Works out the sizes of a service anew, by its `slots` in each region.
+    pub(crate) fn resize(
         &mut self,
         now: Duration,
         service: &ServiceId,
-        slots: &HashMap<&'a RegionId, f64>,
-    ) -> HashMap<&'a RegionId, f64> {
+        slots: &HashMap<&RegionId, f64>,
+    ) {
+        let sizes = self.sizes.entry(service.clone()).or_default();
         let total: f64 = slots.values().sum();
-        let regions = slots.iter().map(|(&region, &own)| {
-            let bound = self.bound.get(region).copied().unwrap_or_default();
+        for (&region, &own) in slots {
+            let bound = self.bound.as_ref().and_then(|b| b.get(region)).copied().unwrap_or(0.0);
             let wanted = (1.0 - BOUND_WEIGHT * bound * total / own.max(1.0)).max(SIZE_MIN);
-            let key = (service.clone(), region.clone());
-            let first = if self.moved { 1.0 } else { wanted };
-            let (size, since) = self.sizes.entry(key).or_insert((first, now));
-            let step = 1.0 + SLEW * now.saturating_sub(*since).as_secs_f64();
-            *size = wanted.clamp(*size / step, *size * step);
-            *since = now;
-            (region, *size)
-        });
-        regions.collect()
+            match sizes.get_mut(region) {
+                Some((size, since)) => {
+                    let step = 1.0 + SLEW * now.saturating_sub(*since).as_secs_f64();
+                    *size = wanted.clamp(*size / step, *size * step);
+                    *since = now;
+                }
+                None => {
+                    let first = if self.moved { 1.0 } else { wanted };
+                    sizes.insert(region.clone(), (first, now));
+                }
+            }
+        }
     }
 }
--- a/src/steer/table.rs
+++ b/src/steer/table.rs
@@ -131,15 +131,6 @@
     Denied,
 }
 
-/// A route that a request matches.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Match<'a> {
-    /// The route.
-    pub route: &'a Route,
-    /// Its place among the table's routes.
-    pub number: usize,
-}
-
 /// A table with its indexes.
 #[derive(Clone, Debug, Default)]
 pub struct Index {
@@ -177,11 +168,11 @@
     }
 
     /// The route of a request, if any. `host` may have a port.
-    pub fn route(&self, host: &str, path: &str) -> Option<Match<'_>> {
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
         let host = host.rsplit_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase();
         let routes = self.hosts.get(&host)?;
         let number = *routes.iter().find(|&&i| path.starts_with(&self.table.routes[i].prefix))?;
-        Some(Match { route: &self.table.routes[number], number })
+        Some(&self.table.routes[number])
     }
 
     /// Who may use `route` with `key`.
--- a/src/steer/targets.rs
+++ b/src/steer/targets.rs
@@ -152,23 +152,23 @@
         self.reserve.set(bound);
     }
 
-    /// The part of its size with which each region counts for a request that is bound to none.
-    fn region_sizes(&mut self, now: Duration, choice: &Choice<'_>) -> HashMap<RegionId, f64> {
+    /// Works out anew how much each region counts for a request that is bound to none.
+    fn resize_regions(&mut self, now: Duration, choice: &Choice<'_>) {
         if choice.homes.is_some() || self.reserve.is_idle() {
-            return HashMap::new();
+            return;
         }
         let mut slots: HashMap<&RegionId, f64> = HashMap::new();
         for known in self.targets.values().filter(|k| self.is_open(k, choice)) {
             *slots.entry(&known.region).or_default() += f64::from(known.entry.slots.max(1));
         }
-        let sizes = self.reserve.sizes(now, choice.service, &slots);
-        sizes.into_iter().map(|(region, size)| (region.clone(), size)).collect()
+        self.reserve.resize(now, choice.service, &slots);
     }
 
     /// Chooses a target: the first in the object's order that is usable, or the second if the
     /// first has no free slot and more to do.
     pub fn pick(&mut self, now: Duration, choice: &Choice<'_>) -> Picked {
-        let sizes = self.region_sizes(now, choice);
+        self.resize_regions(now, choice);
+        let sizes = self.reserve.sizes(choice.service).filter(|_| choice.homes.is_none());
         let usable = self
             .targets
             .iter()
@@ -177,7 +177,7 @@
         let (mut first, mut second): (Option<(f64, &TargetId, &Known)>, _) = (None, None);
         for (id, known) in usable {
             let near = if known.region == *choice.region { NEAR_SIZE } else { 1.0 };
-            let room = sizes.get(&known.region).copied().unwrap_or(1.0);
+            let room = sizes.and_then(|s| s.get(&known.region)).map_or(1.0, |(size, _)| *size);
             let size = f64::from(known.entry.slots.max(1)) * near * room;
             let score = sized_rank(choice.object, known.hash, size);
             let candidate = Some((score, id, known));
--- a/src/store/http.rs
+++ b/src/store/http.rs
@@ -8,7 +8,7 @@
 use http::{Method, Request, Response, StatusCode};
 
 use super::{Changes, Expect, Revision, Store, StoreError, StoreFault, Stored};
-use crate::net::{HttpClient, HttpError};
+use crate::net::{HttpClient, HttpError, header_text};
 
 /// Longest wait for an answer other than a watch's.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -73,10 +73,7 @@
         path: &str,
         answer: &Response<Bytes>,
     ) -> Result<Revision, StoreError> {
-        answer
-            .headers()
-            .get(ETAG)
-            .and_then(|v| v.to_str().ok())
+        header_text(answer.headers(), ETAG)
             .and_then(|v| v.trim_matches('"').parse().ok())
             .ok_or_else(|| self.error(step, path, StoreFault::Unknown, "no revision in the answer"))
     }
--- a/tests/steer_knowledge.rs
+++ b/tests/steer_knowledge.rs
@@ -156,7 +156,7 @@
         ("other.example", "/a/x", None),
     ];
     for (host, path, wanted) in cases {
-        let found = index.route(host, path).map(|m| m.route.name.as_str());
+        let found = index.route(host, path).map(|r| r.name.as_str());
         assert_eq!(found, wanted, "{host}{path}");
     }
 }
@@ -164,9 +164,9 @@
 #[test]
 fn keys_and_homes_bind() {
     let index = index();
-    let short = index.route("zoo.example", "/a/").expect("a route").route;
-    let homed = index.route("zoo.example", "/h/").expect("a route").route;
-    let open = index.route("farm.example", "/").expect("a route").route;
+    let short = index.route("zoo.example", "/a/").expect("a route");
+    let homed = index.route("zoo.example", "/h/").expect("a route");
+    let open = index.route("farm.example", "/").expect("a route");
     assert_eq!(index.access(short, None), Access::Denied);
     assert_eq!(index.access(short, Some("k3")), Access::Denied);
     assert_eq!(index.access(open, Some("k3")), Access::Open);
