Count a crash although the dying target's port still takes a connection

Cause: after a broken response, the check connected once; a process that is ending accepts until the kernel has closed its port, so the crash was not counted and the request went on to a third target. Change: check_port connects until the port refuses or a connection stays open, in the daemon and in fronts.

--- a/src/front/attempt.rs
+++ b/src/front/attempt.rs
@@ -12,12 +12,11 @@
 use http_body_util::{BodyExt, BodyStream, StreamBody};
 use hyper::body::Frame;
 use serde::Serialize;
-use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 use crate::clock;
 use crate::model::TargetId;
-use crate::net::{full_body, header_text};
+use crate::net::{PortState, check_port, full_body, header_text};
 use crate::peer::TargetCrash;
 use crate::steer::{Pick, PickRequest, PickResult};
 
@@ -28,7 +27,7 @@
 
 /// Least time before the deadline at which a request is still sent to a target.
 const TIME_LEFT_MIN: Duration = Duration::from_millis(30);
-/// Connect timeout of the check whether a target has crashed.
+/// Duration of the check whether a target has crashed.
 const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(400);
 /// Most attempts of a request that may fail without reaching a target; one more ends the request.
 const UNREACHED_MAX: u32 = 4;
@@ -371,14 +370,12 @@
 /// Checks whether a target that gave no valid response has crashed: a crashed one refuses
 /// connections.
 async fn check_for_crash(front: Arc<Front>, pick: Pick, fingerprint: Option<String>, id: String) {
-    let connect = TcpStream::connect(pick.addr);
-    let crashed = match timeout(CRASH_CHECK_TIMEOUT, connect).await {
-        Ok(Ok(_)) => return,
-        Ok(Err(e)) => e.kind() == std::io::ErrorKind::ConnectionRefused,
-        Err(_) => false,
-    };
+    let port = check_port(pick.addr, CRASH_CHECK_TIMEOUT).await;
+    if port == PortState::Open {
+        return;
+    }
     front.state.lock().balancer.mark_failed(clock::now(), &pick.id);
-    if let Some(fingerprint) = fingerprint.filter(|_| crashed) {
+    if let Some(fingerprint) = fingerprint.filter(|_| port == PortState::Refused) {
         let event = format!("{id}/{}", pick.id);
         front.decision_log.log_limited("death", &CrashRecord { id: &id, target: pick.id.as_str() });
         front.record_crashes(&[TargetCrash { fingerprint, event }]);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,11 +3,13 @@
 
 mod client;
 mod headers;
+mod port;
 mod serve;
 mod tls;
 
 pub use client::{HttpClient, HttpError};
 pub(crate) use headers::{connection_options, header_text, is_hop_by_hop};
+pub use port::{PortState, check_port};
 pub use serve::{
     ConnectionLimits, Respond, Server, bytes_response, full_body, json_response, text_response,
 };
--- a/src/node/egress.rs
+++ b/src/node/egress.rs
@@ -3,6 +3,7 @@
 //! what the target did. Owns the dispatcher of each service and the bandwidth budgets of links.
 
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
@@ -13,7 +14,7 @@
 use tokio::sync::oneshot;
 
 use crate::model::{CustomerId, ServiceId, TargetId, VmState};
-use crate::net::HttpError;
+use crate::net::{HttpError, PortState, check_port};
 use crate::peer::{Answer, Forward, Identity, Outcome, ServiceLoad};
 use crate::route::LinkBudget;
 use crate::spread::ConfigView;
@@ -26,6 +27,9 @@
 use super::trace::{SpanContext, SpanEnd};
 use super::{Node, probe, sanitize, small_rng};
 
+/// Duration of the check whether a target has crashed.
+const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// The targets that this VM owns, with the requests that wait for their slots.
 #[derive(Default)]
 pub(crate) struct Egress {
@@ -381,15 +385,23 @@
         }
         return failed_answer(Outcome::NotReached, target, cause);
     }
-    // A crashed target refuses new connections; one that is only slow does not.
-    let probe = probe::probe(node, held.slot.addr).await;
-    if probe.is_err_and(|e| e.connection_refused) {
+    if has_crashed(node, held.slot.addr).await {
         held.result = AttemptResult::Died;
         return failed_answer(Outcome::Died, target, cause);
     }
     failed_answer(Outcome::Unknown, target, cause)
 }
 
+/// True if the target has crashed: it then refuses new connections, as one that is only slow does
+/// not.
+async fn has_crashed(node: &Node, addr: SocketAddr) -> bool {
+    match probe::probe(node, addr).await {
+        Ok(_) => false,
+        Err(e) if e.connection_refused => true,
+        Err(_) => check_port(addr, CRASH_CHECK_TIMEOUT).await == PortState::Refused,
+    }
+}
+
 fn to_request(
     forward: &Forward,
     slot: &AssignedSlot,
