Send callers to few VMs of each zone, the largest first

Cause: at 295 VMs each VM meets a target about once a minute, a customer's tokens are spread over all VMs, and the pool VM and the zone leaders, which lend and sync for all, may be the smallest ones. A VM's part of the retry slack is two retries in a window. Change: one order of a zone's VMs by processor share, then by hash. Look-ups return the first that hold a third of the zone's processors (4 at least); only these own shares of the rates and of the retry slack; leaders and the pool VM are the first ones; liveness of only twice as many is passed on; the first one paces cold targets. VMs without a share draw from the pool every 2 s only. Tests: steer_knowledge (look-ups of a large zone, liveness passed on, shares add up to one).

--- a/src/front/config.rs
+++ b/src/front/config.rs
@@ -13,6 +13,11 @@
 use crate::model::{Place, RegionId, VmId, ZoneId};
 use crate::steer::RetryBounds;
 
+/// Smallest processor share in the settings, in cores.
+const CPU_MIN: f64 = 0.001;
+/// Largest processor share in the settings, in cores.
+const CPU_MAX: f64 = 1_024.0;
+
 /// The front's settings.
 #[apply(record!)]
 pub struct FrontConfig {
@@ -23,6 +28,9 @@
     /// Region of this entry VM; required unless `zones` lists its zone.
     #[serde(default)]
     pub region: Option<RegionId>,
+    /// Processor share of this entry VM, in cores. Larger VMs are sent callers first.
+    #[serde(default = "one_core")]
+    pub cpu: f64,
     /// Region of every zone.
     #[serde(default)]
     pub zones: BTreeMap<ZoneId, RegionId>,
@@ -40,6 +48,10 @@
     pub log: DecisionLogConfig,
 }
 
+fn one_core() -> f64 {
+    1.0
+}
+
 /// Addresses to listen on.
 #[apply(record!)]
 pub struct Listen {
@@ -187,6 +199,11 @@
         Place { region, zone: self.zone.clone() }
     }
 
+    /// Processor share of this entry VM, in thousandths of a core.
+    pub fn cpu_millis(&self) -> u32 {
+        (self.cpu * 1_000.0).round() as u32
+    }
+
     /// The limits on retries.
     pub fn retry_bounds(&self) -> RetryBounds {
         RetryBounds {
@@ -204,6 +221,11 @@
             self.zone
         );
         ensure!(self.peers.port > 0, "peers.port: 0 is not a valid port");
+        ensure!(
+            (CPU_MIN..=CPU_MAX).contains(&self.cpu),
+            "cpu: {} is not between {CPU_MIN} and {CPU_MAX} cores",
+            self.cpu
+        );
         let bounds = &self.bounds;
         for (field, duration) in [
             ("bounds.revoke", bounds.revoke),
--- a/src/front/news.rs
+++ b/src/front/news.rs
@@ -77,6 +77,7 @@
         peers: front.peer_addr(front.config.listen.callers.ip()),
         callers: front.config.listen.callers,
         incarnation: front.me.incarnation,
+        cpu_millis: front.config.cpu_millis(),
     };
     let mut first = true;
     loop {
--- a/src/front/rates.rs
+++ b/src/front/rates.rs
@@ -18,6 +18,9 @@
 const POOL_DRAW_INTERVAL: Duration = Duration::from_millis(350);
 /// Shortest interval of the draws from the pool, while the zone is short of tokens.
 const POOL_DRAW_INTERVAL_MIN: Duration = Duration::from_millis(100);
+/// Interval of the draws of a VM that has neither a share to lend nor tokens to draw; they exchange
+/// crashes of targets.
+const IDLE_POOL_DRAW_INTERVAL: Duration = Duration::from_secs(2);
 /// Timeout of a draw from the pool.
 const POOL_DRAW_TIMEOUT: Duration = Duration::from_millis(500);
 /// Wait for a request that needs a token, after [`LEADER_DRAW_INTERVAL_MIN`]; then the next draw from
@@ -50,9 +53,18 @@
         front.zone_supply.notify_waiters();
         front.token_supply.notify_waiters();
         tokio::time::sleep(POOL_DRAW_INTERVAL_MIN).await;
+        let interval = pool_draw_interval(&front) - POOL_DRAW_INTERVAL_MIN;
         // A timeout and a notification both start the next draw.
-        let _ = timeout(POOL_DRAW_INTERVAL - POOL_DRAW_INTERVAL_MIN, front.zone_demand.notified())
-            .await;
+        let _ = timeout(interval, front.zone_demand.notified()).await;
+    }
+}
+
+fn pool_draw_interval(front: &Front) -> Duration {
+    let fleet = &front.state.lock().fleet;
+    let lends = fleet.is_empty() || fleet.own_share() > 0.0;
+    match lends || fleet.is_zone_leader(clock::now()) {
+        true => POOL_DRAW_INTERVAL,
+        false => IDLE_POOL_DRAW_INTERVAL,
     }
 }
 
@@ -242,7 +254,7 @@
         let now = clock::now();
         let new = state.limiter.start_loan(now, pool, timestamp);
         state.zone_limiter.add_grants(now, grants);
-        if new {
+        if new && state.fleet.own_share() > 0.0 {
             // Only the next draw can lend the share, since it must return this timestamp.
             self.zone_demand.notify_one();
         }
--- a/src/front/state.rs
+++ b/src/front/state.rs
@@ -173,7 +173,7 @@
                 None => self.fleet.remove(&vm),
             }
         }
-        self.retries.set_vm_count(self.fleet.len());
+        self.retries.set_share(self.fleet.own_share());
     }
 
     /// Records whether an earlier incarnation of this VM had a record in the store. Only the first
@@ -191,7 +191,7 @@
         }
         let Some(rejoined) = self.rejoined else { return };
         let delay = if rejoined { Duration::ZERO } else { JOIN_DELAY };
-        self.limiter.set_share(1.0 / self.fleet.len().max(1) as f64, start + delay);
+        self.limiter.set_share(self.fleet.own_share(), start + delay);
     }
 }
 
--- a/src/steer/fleet.rs
+++ b/src/steer/fleet.rs
@@ -3,11 +3,15 @@
 //! Two sources are kept apart: the VMs' records in the store say which VMs exist, and liveness
 //! reports exchanged between VMs say which of them run and accept callers. From these, [`Fleet`]
 //! derives the leader of each zone, the VM to sync store changes from, the VM that runs the token
-//! pool, and the addresses that look-ups return. Leaders and the pool VM follow from rendezvous
-//! hashing, without any election messages; VMs with different knowledge may disagree for a short
-//! time.
+//! pool, and the addresses that look-ups return. All of these follow from one order of the VMs,
+//! largest first and then by rendezvous hashing, without any election messages; VMs with different
+//! knowledge may disagree for a short time.
+//!
+//! Callers are sent to the first VMs of each zone only. In a large fleet this keeps connections,
+//! tokens and knowledge of targets on few VMs, each of which meets the same target often.
 
-use std::collections::BTreeMap;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -24,6 +28,15 @@
 const UNRESPONSIVE_BACKOFF: Duration = Duration::from_millis(1_500);
 /// Time for which a VM that is shutting down is not chosen as leader or pool VM.
 const LEAVING_BACKOFF: Duration = Duration::from_millis(6_500);
+/// Fewest VMs of a zone that look-ups return.
+const CALLER_VMS_MIN: usize = 4;
+/// Fraction of a zone's processor share that the VMs returned by look-ups have together.
+const CALLER_CPU_RATIO: f64 = 1.0 / 3.0;
+/// Liveness of this many times the VMs that look-ups return is passed on, so that others can take
+/// the place of those that end.
+const LIVENESS_FACTOR: usize = 2;
+/// Rendezvous key that chooses the VMs that look-ups return.
+const CALLER_ORDER: &[u8] = b"callers";
 /// Rendezvous key that chooses the pool VM.
 const POOL_ORDER: &[u8] = b"pool";
 /// Rendezvous key that chooses the leaders of zones and regions, through which VMs read the store.
@@ -40,6 +53,9 @@
     pub callers: SocketAddr,
     /// The incarnation of its process.
     pub incarnation: Incarnation,
+    /// Its processor share, in thousandths of a core; 0 in records that do not say.
+    #[serde(default)]
+    pub cpu_millis: u32,
 }
 
 /// A report that an entry VM runs, from itself or passed on by another VM.
@@ -135,8 +151,13 @@
         self.live.retain(|_, l| now.saturating_sub(l.reported) < LIVENESS_TIMEOUT);
     }
 
-    /// Reports on the other VMs that run, to be passed on.
+    /// Reports on the other VMs that run, to be passed on. Of each zone, only those that look-ups
+    /// return or may return next.
     pub fn liveness(&self, now: Duration) -> Vec<Liveness> {
+        let mut zones: BTreeMap<&ZoneId, Vec<(&VmId, &LiveVm)>> = BTreeMap::new();
+        for (vm, live) in self.running(now) {
+            zones.entry(&live.zone).or_default().push((vm, live));
+        }
         let report = |(vm, l): (&VmId, &LiveVm)| Liveness {
             vm: vm.clone(),
             zone: l.zone.clone(),
@@ -144,11 +165,63 @@
             serving: l.serving,
             age: now.saturating_sub(l.reported),
         };
-        self.live
-            .iter()
-            .filter(|(_, l)| now.saturating_sub(l.reported) < LIVENESS_TIMEOUT)
-            .map(report)
-            .collect()
+        let mut out = Vec::new();
+        for (zone, mut vms) in zones {
+            vms.sort_by_key(|(vm, _)| Reverse(self.caller_rank(vm)));
+            let passed_on = self.caller_vm_count(zone) * LIVENESS_FACTOR;
+            out.extend(vms.into_iter().take(passed_on).map(report));
+        }
+        out
+    }
+
+    /// The other VMs that were recently reported to run.
+    fn running(&self, now: Duration) -> impl Iterator<Item = (&VmId, &LiveVm)> {
+        self.live.iter().filter(move |(_, l)| now.saturating_sub(l.reported) < LIVENESS_TIMEOUT)
+    }
+
+    /// Rank of a VM in the order in which callers are sent to a zone's VMs; the highest is first.
+    fn caller_rank(&self, vm: &VmId) -> (u32, u64) {
+        match self.vms.get(vm) {
+            Some(member) => member.rank(name_hash(CALLER_ORDER)),
+            None => (0, 0),
+        }
+    }
+
+    /// The number of VMs of a zone that look-ups return: the first in the callers' order that have
+    /// the needed processor share together.
+    fn caller_vm_count(&self, zone: &ZoneId) -> usize {
+        let mut shares: Vec<u32> = self.members(zone).map(|(_, m)| m.record.cpu_millis).collect();
+        shares.sort_unstable_by_key(|&share| Reverse(share));
+        let needed = shares.iter().sum::<u32>() as f64 * CALLER_CPU_RATIO;
+        let mut sum = 0.0;
+        let enough = shares.iter().position(|&share| {
+            sum += f64::from(share);
+            sum >= needed
+        });
+        enough.map_or(0, |last| last + 1).max(CALLER_VMS_MIN)
+    }
+
+    /// The VMs of a zone that have a record.
+    fn members(&self, zone: &ZoneId) -> impl Iterator<Item = (&VmId, &RegisteredVm)> {
+        self.vms.iter().filter(move |(_, m)| m.record.place.zone == *zone)
+    }
+
+    /// The fraction of every limit of the whole fleet that this VM owns: of customers' rates and of
+    /// retries. It is equal for the VMs that look-ups return while all VMs run, and 0 for the
+    /// others. It depends on records only, so that VMs with the same records agree.
+    pub fn own_share(&self) -> f64 {
+        if !self.vms.contains_key(&self.me) {
+            return 0.0;
+        }
+        let rank = self.caller_rank(&self.me);
+        let zone = &self.place.zone;
+        let before = self.members(zone).filter(|(vm, _)| self.caller_rank(vm) > rank);
+        if before.count() >= self.caller_vm_count(zone) {
+            return 0.0;
+        }
+        let zones: BTreeSet<&ZoneId> = self.vms.values().map(|m| &m.record.place.zone).collect();
+        let owners = zones.iter().map(|z| self.caller_vm_count(z).min(self.members(z).count()));
+        1.0 / owners.sum::<usize>().max(1) as f64
     }
 
     /// Excludes a VM for a while, since it did not respond.
@@ -166,10 +239,9 @@
         self.avoided.remove(vm);
     }
 
-    /// The leader of a zone: the first VM in rendezvous order that is not excluded.
+    /// The leader of a zone: the first VM in the leaders' order that is not excluded.
     pub fn leader_of(&self, now: Duration, zone: &ZoneId) -> Option<VmId> {
-        let members = self.vms.iter().filter(|(_, m)| m.record.place.zone == *zone);
-        self.choose(now, LEADER_ORDER, members)
+        self.choose(now, LEADER_ORDER, self.members(zone))
     }
 
     /// The leader of this VM's zone.
@@ -200,7 +272,8 @@
         self.choose(now, POOL_ORDER, self.vms.iter())
     }
 
-    /// The first VM in the rendezvous order of `order` that is not excluded.
+    /// The first VM that is not excluded: the largest, among equals by the rendezvous order of
+    /// `order`.
     fn choose<'a>(
         &self,
         now: Duration,
@@ -210,7 +283,7 @@
         let order = name_hash(order);
         members
             .filter(|(vm, _)| self.avoided.get(*vm).is_none_or(|until| *until <= now))
-            .max_by_key(|(_, member)| rendezvous_score(order, member.hash))
+            .max_by_key(|(_, member)| member.rank(order))
             .map(|(vm, _)| vm.clone())
     }
 
@@ -227,20 +300,17 @@
         self.regions.get(zone) == Some(&self.place.region)
     }
 
-    /// True if this VM is the one in its zone that sends requests to cold targets. A single sender
-    /// can limit their rate without coordination.
+    /// True if this VM is the one in its zone that sends requests to cold targets: the first one
+    /// that look-ups return. A single sender can limit their rate without coordination.
     pub fn paces_cold_targets(&self, now: Duration) -> bool {
-        let live = self.live.iter().filter(|(_, l)| {
-            l.zone == self.place.zone && now.saturating_sub(l.reported) < LIVENESS_TIMEOUT
-        });
-        let order = name_hash(self.place.zone.as_str().as_bytes());
-        let own = rendezvous_score(order, vm_hash(&self.me));
-        live.map(|(vm, _)| rendezvous_score(order, vm_hash(vm))).all(|score| score < own)
+        let own = self.caller_rank(&self.me);
+        let mut others = self.running(now).filter(|(_, l)| l.zone == self.place.zone);
+        others.all(|(vm, _)| self.caller_rank(vm) < own)
     }
 
-    /// The addresses that a look-up from `zone` returns, at most `max`: those of the zone if two or
-    /// more VMs there accept callers, else those of its region, else all. `own` is this VM's
-    /// address if it accepts callers.
+    /// The addresses that a look-up from `zone` returns, at most `max`: of the first VMs that
+    /// accept callers, those of the zone if there are two or more, else those of its region, else
+    /// all. `own` is this VM's address if it accepts callers.
     pub fn lookup_addrs(
         &self,
         now: Duration,
@@ -249,25 +319,62 @@
         max: usize,
     ) -> Vec<SocketAddr> {
         let region = self.regions.get(zone);
-        let live = self
-            .live
-            .values()
-            .filter(|l| l.serving && now.saturating_sub(l.reported) < LIVENESS_TIMEOUT);
-        let mut all: Vec<(&ZoneId, SocketAddr)> = live.map(|l| (&l.zone, l.callers)).collect();
-        all.extend(own.map(|addr| (&self.place.zone, addr)));
+        let others = self.running(now).filter(|(_, l)| l.serving);
+        let mut candidates: Vec<Candidate<'_>> = others
+            .map(|(vm, l)| Candidate { rank: self.caller_rank(vm), zone: &l.zone, addr: l.callers })
+            .collect();
+        let own_rank = self.caller_rank(&self.me);
+        candidates.extend(own.map(|addr| Candidate {
+            rank: own_rank,
+            zone: &self.place.zone,
+            addr,
+        }));
+        candidates.sort_by_key(|c| Reverse(c.rank));
         let tiers: [&dyn Fn(&ZoneId) -> bool; 3] =
             [&|z| z == zone, &|z| region.is_some() && self.regions.get(z) == region, &|_| true];
         let mut best = Vec::new();
         for tier in tiers {
-            best = all.iter().filter(|(z, _)| tier(z)).map(|(_, addr)| *addr).collect::<Vec<_>>();
+            best = self.first_of_each_zone(candidates.iter().filter(|c| tier(c.zone)));
             if best.len() > 1 {
                 break;
             }
         }
-        best.sort();
         best.truncate(max);
+        best.sort();
         best
     }
+
+    /// The addresses of the first candidates of each zone, as many as are sent callers there.
+    fn first_of_each_zone<'a>(
+        &self,
+        candidates: impl Iterator<Item = &'a Candidate<'a>>,
+    ) -> Vec<SocketAddr> {
+        let mut taken: BTreeMap<&ZoneId, usize> = BTreeMap::new();
+        let mut out = Vec::new();
+        for candidate in candidates {
+            let taken = taken.entry(candidate.zone).or_default();
+            if *taken < self.caller_vm_count(candidate.zone) {
+                *taken += 1;
+                out.push(candidate.addr);
+            }
+        }
+        out
+    }
+}
+
+/// A VM that a look-up may return.
+struct Candidate<'a> {
+    /// Its rank in the callers' order.
+    rank: (u32, u64),
+    zone: &'a ZoneId,
+    addr: SocketAddr,
+}
+
+impl RegisteredVm {
+    /// Rank in the rendezvous order of `order`; a larger VM ranks above all smaller ones.
+    fn rank(&self, order: NameHash) -> (u32, u64) {
+        (self.record.cpu_millis, rendezvous_score(order, self.hash))
+    }
 }
 
 fn vm_hash(vm: &VmId) -> NameHash {
--- a/src/steer/retries.rs
+++ b/src/steer/retries.rs
@@ -1,8 +1,8 @@
 //! One entry VM's budgets of retries, by service.
 //!
 //! Each request adds a fraction of a retry to the budget. In addition, the deployment allows a
-//! fixed number of retries in each window (the slack). It is divided among the entry VMs, so that
-//! all of them together stay within the bounds.
+//! fixed number of retries in each window (the slack). It is divided among the entry VMs that are
+//! sent callers, so that all of them together stay within the bounds.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -29,8 +29,8 @@
 #[derive(Clone, Debug)]
 pub struct RetryBudgets {
     bounds: RetryBounds,
-    /// Entry VMs that share the slack.
-    vm_count: usize,
+    /// This VM's fraction of the slack.
+    share: f64,
     budgets: HashMap<ServiceId, Budget>,
 }
 
@@ -43,14 +43,14 @@
 }
 
 impl RetryBudgets {
-    /// Budgets within `bounds`, for a single VM until [`Self::set_vm_count`].
+    /// Budgets within `bounds`, without a share of the slack until [`Self::set_share`].
     pub fn new(bounds: RetryBounds) -> Self {
-        Self { bounds, vm_count: 1, budgets: HashMap::new() }
+        Self { bounds, share: 0.0, budgets: HashMap::new() }
     }
 
-    /// Sets the number of entry VMs that share the slack.
-    pub fn set_vm_count(&mut self, vm_count: usize) {
-        self.vm_count = vm_count.max(1);
+    /// Sets this VM's fraction of the slack.
+    pub fn set_share(&mut self, share: f64) {
+        self.share = share.clamp(0.0, 1.0);
     }
 
     /// Adds the fraction of a retry that one request allows.
@@ -75,20 +75,25 @@
         allowed
     }
 
-    /// This VM's share of the slack, which is also the size of a full budget.
+    /// This VM's part of the slack, in retries.
+    fn slack(&self) -> f64 {
+        self.bounds.slack * SLACK_USED * self.share
+    }
+
+    /// The size of a full budget. One of less than a retry would never allow any.
     fn cap(&self) -> f64 {
-        (self.bounds.slack * SLACK_USED / self.vm_count as f64).max(1.0)
+        self.slack().max(1.0)
     }
 
     /// The budget of a service, refilled for the time since its last use.
     fn budget(&mut self, now: Duration, service: &ServiceId) -> &mut Budget {
-        let cap = self.cap();
+        let (cap, slack) = (self.cap(), self.slack());
         // A new budget has half of the slack; the other half is added in the course of each window.
-        let refill = cap / self.bounds.window.as_secs_f64().max(1.0) / 2.0;
+        let refill = slack / self.bounds.window.as_secs_f64().max(1.0) / 2.0;
         let budget = self
             .budgets
             .entry(service.clone())
-            .or_insert(Budget { tokens: cap / 2.0, refilled: now });
+            .or_insert(Budget { tokens: slack / 2.0, refilled: now });
         let elapsed = now.saturating_sub(budget.refilled).as_secs_f64();
         budget.tokens = (budget.tokens + elapsed * refill).min(cap);
         budget.refilled = now;
--- a/tests/steer_knowledge.rs
+++ b/tests/steer_knowledge.rs
@@ -205,7 +205,10 @@
     let mut fleet = Fleet::new(vm(me), place(me), regions);
     for n in 0..8 {
         let (peers, callers) = (addr(n + 100), addr(n));
-        fleet.put(vm(n), VmRecord { place: place(n), peers, callers, incarnation: 1 });
+        fleet.put(
+            vm(n),
+            VmRecord { place: place(n), peers, callers, incarnation: 1, cpu_millis: 100 },
+        );
     }
     fleet
 }
@@ -279,6 +282,78 @@
     );
 }
 
+/// A VM of a zone with 30 VMs: 3 large ones and 27 small ones. `known` lists the VMs with a record.
+fn large_zone(me: usize, known: std::ops::Range<usize>) -> Fleet {
+    let place = Place { region: "r".into(), zone: "a".into() };
+    let regions = BTreeMap::from([("a".into(), "r".into())]);
+    let mut fleet = Fleet::new(large_vm(me), place.clone(), regions);
+    for n in known {
+        let cpu_millis = if n < 3 { 500 } else { 100 };
+        let (peers, callers) = (addr(n as u8 + 100), addr(n as u8));
+        let record = VmRecord { place: place.clone(), peers, callers, incarnation: 1, cpu_millis };
+        fleet.put(large_vm(n), record);
+    }
+    fleet
+}
+
+fn large_vm(number: usize) -> VmId {
+    VmId::new(format!("vm-{number}"))
+}
+
+fn large_zone_liveness(running: impl Iterator<Item = usize>) -> Vec<Liveness> {
+    let report = |n: usize| Liveness {
+        vm: large_vm(n),
+        zone: "a".into(),
+        callers: addr(n as u8),
+        serving: true,
+        age: Duration::ZERO,
+    };
+    running.map(report).collect()
+}
+
+/// In a large fleet, requests that are spread over all VMs open a connection each and find no
+/// knowledge of their target. Callers are sent to few VMs, the largest first.
+#[test]
+fn look_ups_of_a_large_zone_return_few_vms() {
+    let mut fleet = large_zone(29, 0..30);
+    fleet.merge_liveness(ms(0), large_zone_liveness(0..29));
+    let zone = ZoneId::new("a");
+    let all = fleet.lookup_addrs(ms(1), &zone, Some(addr(29)), 64);
+    assert_eq!(all.len(), 4, "{all:?}");
+    assert!((0..3).all(|n| all.contains(&addr(n))), "the large ones are among {all:?}");
+    // All but the small ones from 10 on have ended.
+    let mut fleet = large_zone(29, 0..30);
+    fleet.merge_liveness(ms(3_000), large_zone_liveness(10..29));
+    let rest = fleet.lookup_addrs(ms(3_001), &zone, Some(addr(29)), 64);
+    assert_eq!(rest.len(), 4, "others take the place of those that ended: {rest:?}");
+}
+
+#[test]
+fn liveness_that_is_passed_on_is_enough_for_look_ups() {
+    let zone = ZoneId::new("a");
+    for first in [0, 2, 7, 20] {
+        let mut leader = large_zone(0, 0..30);
+        leader.merge_liveness(ms(0), large_zone_liveness(first..29));
+        let reports = leader.liveness(ms(1));
+        assert!(reports.len() <= 8, "{} reports", reports.len());
+        let mut member = large_zone(29, 0..30);
+        member.merge_liveness(ms(1), reports);
+        let expected = leader.lookup_addrs(ms(2), &zone, None, 64);
+        assert_eq!(member.lookup_addrs(ms(2), &zone, None, 64), expected);
+    }
+}
+
+/// Shares must not add up to more than the whole while VMs join.
+#[test]
+fn shares_of_a_zone_add_up_to_one() {
+    for known in [1, 2, 4, 5, 12, 30] {
+        let shares = (0..known).map(|n| large_zone(n, 0..known).own_share());
+        let sum: f64 = shares.sum();
+        assert!((sum - 1.0).abs() < 1e-9, "{known} VMs own {sum}");
+    }
+    assert_eq!(large_zone(0, 1..30).own_share(), 0.0, "a VM without a record owns nothing");
+}
+
 #[test]
 fn one_vm_of_a_zone_sends_to_its_cold_targets() {
     let pacing: Vec<u8> = [0, 4]
@@ -301,7 +376,7 @@
     let mut requests = 0;
     for vm in 0..vms {
         let mut retries = RetryBudgets::new(bounds);
-        retries.set_vm_count(vms);
+        retries.set_share(1.0 / vms as f64);
         // For ten seconds, this VM gets a request every 40 ms and attempts a retry every 10 ms.
         for step in 0..1_000u64 {
             let now = ms(step * 10 + vm as u64);
