Leave targets alone for a while that keep failing requests

Cause: a target that sheds all requests while its health checks succeed stays the first choice of its affinity keys, so every request goes there first and the retry budget is spent; the same for one whose responses are no responses. Change: a backoff of 100 ms, doubled to 1.6 s at most, after a rejection or the second lost response in a row; meanwhile other targets rank before it. Tests: steer_targets, by load pattern.

--- a/src/front/attempt.rs
+++ b/src/front/attempt.rs
@@ -138,9 +138,13 @@
         AttemptOutcome::Responded(response) => return Next::Respond(response),
         AttemptOutcome::NotRun { status } => {
             history.arrivals += 1;
+            let mut state = front.state.lock();
             if status == StatusCode::MISDIRECTED_REQUEST {
-                front.state.lock().balancer.mark_replaced(&pick.id);
+                state.balancer.mark_replaced(&pick.id);
+            } else {
+                state.balancer.record_rejection(clock::now(), &pick.id);
             }
+            drop(state);
             history.cause = format!("target {} has not run the request ({status})", pick.id);
         }
         AttemptOutcome::Failed(response) => {
@@ -159,6 +163,7 @@
         AttemptOutcome::Lost(cause) => {
             history.arrivals += 1;
             history.maybe_run = true;
+            front.state.lock().balancer.record_loss(clock::now(), &pick.id);
             let (fingerprint, id) = (admitted.fingerprint.clone(), admitted.id.clone());
             tokio::spawn(check_for_crash(front.clone(), pick.clone(), fingerprint, id));
             history.cause = cause;
--- a/src/steer/balancer.rs
+++ b/src/steer/balancer.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::backoff::FailureBackoff;
 use super::load::TargetLoad;
 use super::pick::{Pick, PickRequest, PickResult};
 use super::record::{TargetReadiness, TargetRecord};
@@ -65,6 +66,7 @@
     /// When the next request may go to it while it is cold.
     next_cold_send: Duration,
     load: TargetLoad,
+    backoff: FailureBackoff,
     /// When to remove it, if its record has disappeared and may have been lost by the store.
     expires: Option<Duration>,
 }
@@ -103,6 +105,7 @@
                     known.record.born_ms != record.born_ms || known.record.addr != record.addr;
                 if restarted {
                     known.trust = TargetTrust::Trusted;
+                    known.backoff = FailureBackoff::default();
                 }
                 known.cold_until =
                     if restarted { cold_until } else { cold_until.max(known.cold_until) };
@@ -120,6 +123,7 @@
                     trust: TargetTrust::Trusted,
                     cold_until,
                     next_cold_send: Duration::ZERO,
+                    backoff: FailureBackoff::default(),
                     expires: None,
                 };
                 self.targets.insert(id, known);
@@ -177,8 +181,8 @@
 
     /// Chooses a target: the first usable one in the rendezvous order of the affinity key, or the
     /// second if the first has a full window, or has no free slot and is more loaded. Only two are
-    /// considered, so that a key's requests stay on few targets. If no warm target is usable, a
-    /// cold one may be chosen.
+    /// considered, so that a key's requests stay on few targets. Targets that keep failing requests are
+    /// passed over while there are others. If no warm target is usable, a cold one may be chosen.
     pub fn pick(&mut self, now: Duration, request: &PickRequest<'_>) -> PickResult {
         self.update_region_weights(now, request);
         let weights = self
@@ -190,22 +194,27 @@
             .iter()
             .filter(|(id, k)| self.is_allowed(k, request) && !request.avoid.contains(id))
             .filter(|(_, k)| k.trust == TargetTrust::Trusted && k.cold_until <= now);
-        let (mut first, mut second): (Option<(f64, &TargetId, &KnownTarget)>, _) = (None, None);
+        let (mut first, mut second): (Option<Ranked<'_>>, Option<Ranked<'_>>) = (None, None);
         for (id, known) in usable {
             let proximity = if known.region == *request.region { OWN_REGION_WEIGHT } else { 1.0 };
             let regional =
                 weights.and_then(|w| w.get(&known.region)).map_or(1.0, |(weight, _)| *weight);
             let weight = f64::from(known.record.slots.max(1)) * proximity * regional;
             let score = weighted_score(request.affinity, known.hash, weight);
-            let candidate = Some((score, id, known));
-            if first.is_none_or(|(best, ..)| score > best) {
+            let rank = (!known.backoff.is_active(now), score);
+            let candidate = Some((rank, id, known));
+            if first.is_none_or(|(best, ..)| rank > best) {
                 (first, second) = (candidate, first);
-            } else if second.is_none_or(|(best, ..): (f64, _, _)| score > best) {
+            } else if second.is_none_or(|(best, ..)| rank > best) {
                 second = candidate;
             }
         }
         let chosen = match (first, second) {
-            (Some((_, _, a)), Some((_, id, b))) if spills(now, &a.load, &b.load) => Some((id, b)),
+            (Some((_, _, a)), Some(((accepts, _), id, b)))
+                if accepts && spills(now, &a.load, &b.load) =>
+            {
+                Some((id, b))
+            }
             (first, _) => first.map(|(_, id, k)| (id, k)),
         };
         if let Some((_, known)) = chosen {
@@ -279,9 +288,24 @@
         }
     }
 
+    /// Records that a target rejected a request without running it.
+    pub fn record_rejection(&mut self, now: Duration, id: &TargetId) {
+        if let Some(known) = self.targets.get_mut(id) {
+            known.backoff.record_rejection(now);
+        }
+    }
+
+    /// Records that a target did not send a valid response.
+    pub fn record_loss(&mut self, now: Duration, id: &TargetId) {
+        if let Some(known) = self.targets.get_mut(id) {
+            known.backoff.record_loss(now);
+        }
+    }
+
     /// Records the time from sending a request to its whole response.
     pub fn record_latency(&mut self, now: Duration, pick: &Pick, latency: Duration) {
         if let Some(known) = self.targets.get_mut(&pick.id) {
+            known.backoff.record_answer(now);
             known.load.record_latency(now, pick.queue, latency);
         }
     }
@@ -372,6 +396,10 @@
     }
 }
 
+/// A candidate for a request: its rank, whether it accepts requests before its score, its id and
+/// what is known of it.
+type Ranked<'a> = ((bool, f64), &'a TargetId, &'a KnownTarget);
+
 /// True if an affinity key's second target is to be used in place of the first.
 fn spills(now: Duration, first: &TargetLoad, second: &TargetLoad) -> bool {
     if !first.has_window() {
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -13,6 +13,7 @@
 //!
 //! All times are given as time since the machine's start ([`crate::clock::now`]).
 
+mod backoff;
 mod balancer;
 mod fleet;
 mod limiter;
--- a/tests/steer_targets.rs
+++ b/tests/steer_targets.rs
@@ -411,3 +411,53 @@
     let unlimited = customer("unlimited", 0.0, &[]);
     assert!(TableIndex::new(table(vec![one, unlimited])).regional_demand().is_empty());
 }
+
+/// A target that rejects everything for some seconds while its health checks succeed. Without a
+/// backoff, each request for its keys is rejected there first, and the retries exceed their budget.
+#[test]
+fn a_target_that_rejects_requests_is_passed_over_for_a_while() {
+    let mut balancer = balancer(6);
+    let request = Request::default();
+    let first = request.pick(&mut balancer, ms(0), "zoo").expect("a target");
+    let mut rejected = 0;
+    for step in 0..500u64 {
+        let now = ms(10 + step * 10);
+        if request.pick(&mut balancer, now, "zoo").expect("a target") == first {
+            balancer.record_rejection(now, &first);
+            rejected += 1;
+        }
+    }
+    assert!((3..=8).contains(&rejected), "{rejected} of 500 requests were rejected in 5 s");
+    let PickResult::Target(pick) = request.pick_result(&mut balancer, ms(7_000), "zoo") else {
+        panic!("no target");
+    };
+    assert_eq!(pick.id, first, "it is tried again");
+    balancer.record_latency(ms(7_100), &pick, ms(100));
+    assert_eq!(
+        request.pick(&mut balancer, ms(7_110), "zoo"),
+        Some(first),
+        "it runs requests again"
+    );
+}
+
+#[test]
+fn targets_that_all_reject_requests_are_still_tried() {
+    let mut balancer = balancer(2);
+    for number in 0..2 {
+        balancer.record_rejection(ms(10), &id(number));
+    }
+    assert!(Request::default().pick(&mut balancer, ms(20), "zoo").is_some());
+}
+
+/// A target that answers with bytes that are no response, while its port stays open.
+#[test]
+fn a_target_that_keeps_losing_responses_is_passed_over_for_a_while() {
+    let mut balancer = balancer(6);
+    let request = Request::default();
+    let first = request.pick(&mut balancer, ms(0), "zoo").expect("a target");
+    balancer.record_loss(ms(10), &first);
+    assert_eq!(request.pick(&mut balancer, ms(11), "zoo"), Some(first.clone()), "once is accident");
+    balancer.record_loss(ms(20), &first);
+    assert_ne!(request.pick(&mut balancer, ms(21), "zoo"), Some(first.clone()));
+    assert_eq!(request.pick(&mut balancer, ms(130), "zoo"), Some(first), "it is tried again");
+}
