Bound what a target can send that is no response

Cause: interim responses or a chunk size without end were read until the route's timeout (415 MB in a test), a sealed body without end until the caller left.

--- a/src/front/attempt.rs
+++ b/src/front/attempt.rs
@@ -251,7 +251,7 @@
     match front.target_client.send(pick.addr, request, true).await {
         Ok((response, lease)) => {
             record_load(front, pick, response.headers());
-            read_response(&front.headers, &admitted.id, response, lease).await
+            read_response(&front.headers, admitted, response, lease).await
         }
         Err(SendFailure { maybe_sent: false, step, peer, cause }) => {
             AttemptOutcome::Unreached(format!("{step} at {peer}: {cause}"))
--- a/src/front/ingress.rs
+++ b/src/front/ingress.rs
@@ -148,8 +148,8 @@
         }
     }
     let allowed_regions = index.allowed_regions(&route, access);
-    let deadline =
-        arrived + Duration::from_millis(route.timeout_ms).min(caller_timeout(front, &head.headers));
+    let caller_deadline = arrived + caller_timeout(front, &head.headers);
+    let deadline = caller_deadline.min(arrived + Duration::from_millis(route.timeout_ms));
     let body = read_body(body, deadline).await?;
     let request_fingerprint = match &body {
         RequestBody::Buffered(body) => {
@@ -175,6 +175,7 @@
         allowed_regions,
         affinity,
         deadline,
+        caller_deadline,
         fingerprint: request_fingerprint,
     };
     attempt::run(front, admitted, body, log).await
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -11,6 +11,7 @@
 mod decisions;
 mod handle;
 mod ingress;
+mod metered;
 mod metrics;
 mod news;
 mod outbound;
--- a/src/front/outbound.rs
+++ b/src/front/outbound.rs
@@ -10,7 +10,6 @@
 use gotham::helpers::http::Body;
 use http::{HeaderMap, Request, Response};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
@@ -20,6 +19,8 @@
 use crate::clock;
 use crate::net::{connection_options, header_text};
 
+use super::metered::{MeteredBody, MeteredStream, ReadMeter};
+
 /// Timeout of opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 /// Time after which a connection with unacknowledged data is closed (`TCP_USER_TIMEOUT`).
@@ -36,6 +37,8 @@
 /// Most idle connections kept to one target.
 const IDLE_CONNS_MAX: usize = 6;
 
+/// Size of a connection's read buffer, and so the longest head of a response, in bytes.
+const READ_BUFFER_MAX: usize = 64 << 10;
 /// A request that failed without a response.
 #[derive(Debug, thiserror::Error)]
 #[error("{step} at {peer}: {cause}")]
@@ -63,6 +66,7 @@
 struct Conn {
     sender: SendRequest<Body>,
     task: AbortHandle,
+    meter: ReadMeter,
 }
 
 /// A connection in use. It is closed when dropped, unless it is [released](Lease::release).
@@ -107,7 +111,7 @@
         addr: SocketAddr,
         request: Request<Body>,
         reuse: bool,
-    ) -> Result<(Response<Incoming>, Lease), SendFailure> {
+    ) -> Result<(Response<MeteredBody>, Lease), SendFailure> {
         let mut request = request;
         if reuse {
             while let Some(lease) = self.take_idle(addr) {
@@ -161,8 +165,10 @@
             Err(_) => return Err(fail("connect", "no response in time".to_owned())),
         };
         set_options(&stream).map_err(|e| fail("set options", e.to_string()))?;
+        let meter = ReadMeter::default();
         let (sender, conn) = http1::Builder::new()
-            .handshake(TokioIo::new(stream))
+            .max_buf_size(READ_BUFFER_MAX)
+            .handshake(TokioIo::new(MeteredStream { stream, meter: meter.clone() }))
             .await
             .map_err(|e| fail("open", e.to_string()))?;
         let task = tokio::spawn(async move {
@@ -170,7 +176,7 @@
                 log::debug!("targets: connection to target {addr} failed: {e}.");
             }
         });
-        let conn = Conn { sender, task: task.abort_handle() };
+        let conn = Conn { sender, task: task.abort_handle(), meter };
         Ok(Lease { conn: Some(conn), addr, client: self.clone(), expires: Duration::ZERO })
     }
 
@@ -178,7 +184,7 @@
         &self,
         mut lease: Lease,
         request: Request<Body>,
-    ) -> Result<(Response<Incoming>, Lease), (SendFailure, Option<Box<Request<Body>>>)> {
+    ) -> Result<(Response<MeteredBody>, Lease), (SendFailure, Option<Box<Request<Body>>>)> {
         let peer = lease.addr;
         let fail =
             |cause: String, maybe_sent| SendFailure { step: "send", peer, cause, maybe_sent };
@@ -193,8 +199,10 @@
         }
         match conn.sender.try_send_request(request).await {
             Ok(response) => {
+                conn.meter.reset();
+                let meter = conn.meter.clone();
                 lease.expires = clock::now() + idle_timeout(response.headers());
-                Ok((response, lease))
+                Ok((response.map(|body| MeteredBody { body, meter }), lease))
             }
             Err(mut e) => {
                 let unsent = e.take_message().map(Box::new);
--- a/src/front/response.rs
+++ b/src/front/response.rs
@@ -1,5 +1,6 @@
 //! Reads a target's response, classifies the attempt's outcome and prepares what is forwarded.
 
+use std::io::ErrorKind;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 
@@ -8,12 +9,16 @@
 use http::header::{PROXY_AUTHENTICATE, PROXY_AUTHORIZATION};
 use http::{HeaderMap, HeaderName, Response, StatusCode, Version};
 use http_body_util::BodyExt;
-use hyper::body::{Frame, Incoming, SizeHint};
+use hyper::body::{Frame, SizeHint};
+use tokio::time::Sleep;
 
+use crate::clock;
 use crate::net::{connection_options, full_body, header_text, is_hop_by_hop};
 
 use super::Headers;
+use super::metered::MeteredBody;
 use super::outbound::{Lease, read_up_to};
+use super::request::Admitted;
 
 /// Longest response body that is buffered before it is forwarded, in bytes; longer ones are streamed.
 const BUFFERED_RESPONSE_MAX: usize = 128 << 10;
@@ -38,8 +43,8 @@
 /// Reads a response and classifies it.
 pub(crate) async fn read_response(
     names: &Headers,
-    attempt: &str,
-    response: Response<Incoming>,
+    admitted: &Admitted,
+    response: Response<MeteredBody>,
     lease: Lease,
 ) -> AttemptOutcome {
     let (mut head, mut body) = response.into_parts();
@@ -48,7 +53,7 @@
     let not_run =
         head.headers.contains_key(&names.not_run) || head.status == StatusCode::MISDIRECTED_REQUEST;
     let echoed = header_text(&head.headers, &names.attempt);
-    if echoed.is_some_and(|id| id != attempt) {
+    if echoed.is_some_and(|id| id != admitted.id) {
         return AttemptOutcome::Lost("the response has another request's id".to_owned());
     }
     if !not_run && (echoed.is_none() || !head.headers.contains_key(&names.seal)) {
@@ -75,9 +80,9 @@
         full_body(chunks.concat().into())
     } else {
         let chunks = chunks.into_iter();
-        StreamedBody { chunks, rest: body, lease: Some(lease) }
-            .map_err(std::io::Error::other)
-            .boxed_unsync()
+        let left = admitted.caller_deadline.saturating_sub(clock::now());
+        let deadline = Box::pin(tokio::time::sleep(left));
+        StreamedBody { chunks, rest: body, lease: Some(lease), deadline }.boxed_unsync()
     };
     let response = Response::from_parts(head, body);
     if server_error {
@@ -100,31 +105,37 @@
 }
 
 /// A response body too long to buffer: the chunks read so far, then the rest. If the target aborts
-/// the response, the response to the caller is aborted, too.
+/// the response, or its end has not come when the caller stops waiting, the response to the caller
+/// is aborted, too.
 struct StreamedBody {
     chunks: std::vec::IntoIter<Bytes>,
-    rest: Incoming,
+    rest: MeteredBody,
     lease: Option<Lease>,
+    deadline: Pin<Box<Sleep>>,
 }
 
 impl hyper::body::Body for StreamedBody {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = std::io::Error;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
         if let Some(bytes) = self.chunks.next() {
             return Poll::Ready(Some(Ok(Frame::data(bytes))));
         }
+        if self.deadline.as_mut().poll(cx).is_ready() {
+            self.lease = None;
+            return Poll::Ready(Some(Err(ErrorKind::TimedOut.into())));
+        }
         let frame = ready!(Pin::new(&mut self.rest).poll_frame(cx));
         if frame.is_none()
             && let Some(lease) = self.lease.take()
         {
             lease.release();
         }
-        Poll::Ready(frame)
+        Poll::Ready(frame.map(|f| f.map_err(std::io::Error::other)))
     }
 
     fn size_hint(&self) -> SizeHint {
