Read the store from few VMs at a start, and decide it in one place

Cause: a VM that starts knows no upstream and lists all feeds; with 295 VMs that is over 20 calls of the store each. An upstream without a table yet counted as unresponsive. Change: steer/reading.rs decides which VMs read; a starting VM asks a seed for the other VMs' records, then its upstream for the rest.

--- a/src/front/news.rs
+++ b/src/front/news.rs
@@ -15,12 +15,14 @@
 use crate::clock;
 use crate::model::VmId;
 use crate::peer::{Body, SyncRequest, SyncResponse};
-use crate::steer::{Delta, Feed, VmRecord};
+use crate::steer::{Delta, Feed, ReadContext, Upstream, VmRecord};
 
 use super::Front;
 
 /// Interval of the requests to the upstream VM.
 const SYNC_INTERVAL: Duration = Duration::from_millis(250);
+/// Interval of the requests of a VM without a routing table.
+const FIRST_SYNC_INTERVAL: Duration = Duration::from_millis(100);
 /// Timeout of a request to the upstream VM.
 const SYNC_TIMEOUT: Duration = Duration::from_millis(400);
 /// Timeout of a request to another zone or a seed.
@@ -29,10 +31,6 @@
 const LEADER_UPSTREAM_AGE_MAX: Duration = Duration::from_millis(1_200);
 /// Age of the routing table at which the other VMs of a zone mark their leader as unresponsive.
 const MEMBER_UPSTREAM_AGE_MAX: Duration = Duration::from_millis(1_400);
-/// Age of the routing table above which a VM reads the store itself.
-const STORE_READ_AGE: Duration = Duration::from_millis(1_700);
-/// Time after the start at which a VM without a routing table reads the store itself.
-const STORE_READ_DELAY: Duration = Duration::from_millis(500);
 /// Age of the routing table above which a VM also syncs from other zones.
 const CROSS_ZONE_AGE: Duration = Duration::from_millis(2_000);
 /// Interval of a zone leader's requests to the region's other zones.
@@ -91,26 +89,34 @@
     }
 }
 
-/// True if this VM must read the store itself.
-fn must_read(front: &Front) -> bool {
+/// What this VM knows for the decision whether to read the store.
+fn read_context(front: &Front) -> ReadContext {
     let now = clock::now();
     let state = front.state.lock();
-    if state.fleet.upstream(now).is_none_or(|vm| vm == front.me.vm) {
-        return true;
-    }
-    // A VM with an upstream, even one that has just started, gives the upstream time to respond.
-    let age = state.feeds[Feed::Table as usize].age(now);
-    match age {
-        Some(age) => age > STORE_READ_AGE,
-        None => now.saturating_sub(front.started) > STORE_READ_DELAY,
+    let upstream = match state.fleet.upstream(now) {
+        None => Upstream::Unknown,
+        Some(vm) if vm == front.me.vm => Upstream::Own,
+        Some(_) => Upstream::Other,
+    };
+    ReadContext {
+        upstream,
+        has_seeds: !front.config.peers.seeds.is_empty() && !is_seed(front),
+        table_age: state.feeds[Feed::Table as usize].age(now),
+        uptime: now.saturating_sub(front.started),
     }
 }
 
-/// Keeps one feed up to date from the store, whenever [`must_read`] holds.
+/// True if other VMs may have this one among their seeds, since its settings list it.
+fn is_seed(front: &Front) -> bool {
+    let own = front.config.listen.callers.ip();
+    front.config.peers.seeds.iter().any(|seed| seed.ip() == own)
+}
+
+/// Keeps one feed up to date from the store, whenever [`ReadContext::must_read`] holds.
 async fn follow_feed(front: Arc<Front>, feed: Feed) {
     let mut unreachable = false;
     loop {
-        let must_read = must_read(&front);
+        let must_read = read_context(&front).must_read(feed);
         if !must_read {
             // This VM syncs from another one, so it no longer knows whether the store responds.
             front.store_unreachable.store(false, Ordering::Relaxed);
@@ -200,11 +206,12 @@
                 turn += 1;
             }
         }
-        if upstream.is_some() && age.is_none_or(|age| age > CROSS_ZONE_AGE) {
+        let waits = read_context(&front).awaits_first_table();
+        if upstream.is_some() && !waits && age.is_none_or(|age| age > CROSS_ZONE_AGE) {
             sync_cross_zone(&front, turn).await;
             turn += 1;
         }
-        sleep(SYNC_INTERVAL).await;
+        sleep(if age.is_some() { SYNC_INTERVAL } else { FIRST_SYNC_INTERVAL }).await;
     }
 }
 
@@ -253,7 +260,7 @@
     let sent = clock::now();
     // An empty name accepts whichever VM listens at the address.
     let any_vm = VmId::default();
-    match request_sync(front, &any_vm, addr, CROSS_ZONE_TIMEOUT).await {
+    match request_sync(front, &any_vm, addr, true, CROSS_ZONE_TIMEOUT).await {
         Ok(response) => front.apply_response(response, sent, "seed"),
         Err(e) => log::debug!("news: no updates from seed {addr}: {e}."),
     }
@@ -262,12 +269,13 @@
 async fn sync_vm(front: &Front, vm: &VmId, timeout: Duration) {
     let Some(addr) = front.state.lock().fleet.record(vm).map(|e| e.peers) else { return };
     let sent = clock::now();
-    match request_sync(front, vm, addr, timeout).await {
+    match request_sync(front, vm, addr, false, timeout).await {
         Ok(response) => {
             let (leaving, store_unreachable) = (response.leaving, response.store_unreachable);
             front.apply_response(response, sent, vm.as_str());
             let now = clock::now();
             let age = front.state.table_age(now);
+            let waits = read_context(front).awaits_first_table();
             let mut state = front.state.lock();
             let limit = if state.fleet.is_zone_leader(now) {
                 LEADER_UPSTREAM_AGE_MAX
@@ -277,6 +285,7 @@
             match age {
                 _ if leaving => state.fleet.mark_leaving(now, vm),
                 Some(age) if age < limit && !store_unreachable => state.fleet.mark_responsive(vm),
+                None if waits && !store_unreachable => {}
                 _ => state.fleet.mark_unresponsive(now, vm),
             }
         }
@@ -287,16 +296,18 @@
     }
 }
 
-/// Requests updates from the VM at `addr`.
+/// Requests updates from the VM at `addr`; if `vms_only`, only those of the entry VMs' records.
 async fn request_sync(
     front: &Front,
     vm: &VmId,
     addr: SocketAddr,
+    vms_only: bool,
     timeout: Duration,
 ) -> Result<SyncResponse, String> {
     let marks = front.state.lock().feeds.iter().map(|f| f.mark()).collect();
     let callers = front.config.listen.callers.to_string();
-    let request = Body::SyncRequest(SyncRequest { marks, callers, serving: front.is_serving() });
+    let serving = front.is_serving();
+    let request = Body::SyncRequest(SyncRequest { marks, callers, serving, vms_only });
     match front.sessions.call(vm, addr, request, timeout).await {
         Ok(Body::SyncResponse(response)) => Ok(response),
         Ok(_) => Err("unexpected kind of response".to_owned()),
--- a/src/front/sessions.rs
+++ b/src/front/sessions.rs
@@ -116,7 +116,8 @@
             .map(Into::into)
             .collect();
         live.push(self.own_liveness().into());
-        let feeds = Feed::ALL.into_iter().filter_map(|feed| {
+        let wanted = Feed::ALL.into_iter().filter(|f| !sync.vms_only || *f == Feed::Vms);
+        let feeds = wanted.filter_map(|feed| {
             let replica = &state.feeds[feed as usize];
             let mark = sync.marks.get(feed as usize).copied().unwrap_or_default();
             let age = replica.age(now)?;
--- a/src/peer/steering.rs
+++ b/src/peer/steering.rs
@@ -20,6 +20,9 @@
     /// True if the sender accepts callers.
     #[prost(bool, tag = "3")]
     pub serving: bool,
+    /// True if only the updates of the entry VMs' records are wanted.
+    #[prost(bool, tag = "4")]
+    pub vms_only: bool,
 }
 
 /// The updates of all feeds.
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -8,6 +8,7 @@
 //!   leaves room for customers bound to a region.
 //! - [`RateLimiter`] and [`TokenPool`] keep each customer's rate over all entry VMs.
 //! - [`RetryBudgets`] bounds the retries.
+//! - [`ReadContext`] decides which VMs read the store.
 //! - [`Fleet`] knows the other entry VMs: which to sync from, draw tokens from and return in
 //!   look-ups.
 //!
@@ -20,6 +21,7 @@
 mod load;
 mod pick;
 mod pool;
+mod reading;
 mod record;
 mod region_weights;
 mod rendezvous;
@@ -32,6 +34,7 @@
 pub use limiter::{PoolTimestamp, RateLimiter, TakeResult};
 pub use pick::{Pick, PickRequest, PickResult};
 pub use pool::{TokenGrant, TokenPool, TokenRequest};
+pub use reading::{ReadContext, Upstream};
 pub use record::{TargetReadiness, TargetRecord};
 pub use rendezvous::{NameHash, name_hash, rendezvous_score, weighted_score};
 pub use replica::{Delta, Feed, Item, Replica};
