--- a/src/steer/balancer.rs
+++ b/src/steer/balancer.rs
@@ -10,6 +10,7 @@
 use super::backoff::FailureBackoff;
 use super::load::TargetLoad;
 use super::pick::{Pick, PickRequest, PickResult};
+use super::ranking::{Ranked, choose};
 use super::record::{TargetReadiness, TargetRecord};
 use super::region_weights::RegionWeights;
 use super::rendezvous::{NameHash, name_hash, rendezvous_score, weighted_score};
@@ -26,9 +27,6 @@
 const MISSING_RECORD_TTL: Duration = Duration::from_millis(2_300);
 /// Factor by which a target in this VM's region weighs more than one in another region.
 const OWN_REGION_WEIGHT: f64 = 5.0;
-/// An affinity key's second target is used only if, with this many more requests, it would still
-/// have fewer requests per slot than the first.
-const SPILL_MARGIN: f64 = 1.0;
 /// Fraction of a cold target's allowed rate that is used.
 const COLD_RATE_RATIO: f64 = 0.8;
 
@@ -194,37 +192,23 @@
             .iter()
             .filter(|(id, k)| self.is_allowed(k, request) && !request.avoid.contains(id))
             .filter(|(_, k)| k.trust == TargetTrust::Trusted && k.cold_until <= now);
-        let (mut first, mut second): (Option<Ranked<'_>>, Option<Ranked<'_>>) = (None, None);
-        for (id, known) in usable {
+        let ranked = usable.map(|(id, known)| {
             let proximity = if known.region == *request.region { OWN_REGION_WEIGHT } else { 1.0 };
             let regional =
                 weights.and_then(|w| w.get(&known.region)).map_or(1.0, |(weight, _)| *weight);
             let weight = f64::from(known.record.slots.max(1)) * proximity * regional;
             let score = weighted_score(request.affinity, known.hash, weight);
-            let rank = (!known.backoff.is_active(now), score);
-            let candidate = Some((rank, id, known));
-            if first.is_none_or(|(best, ..)| rank > best) {
-                (first, second) = (candidate, first);
-            } else if second.is_none_or(|(best, ..)| rank > best) {
-                second = candidate;
-            }
-        }
-        let chosen = match (first, second) {
-            (Some((_, _, a)), Some(((accepts, _), id, b)))
-                if accepts && spills(now, &a.load, &b.load) =>
-            {
-                Some((id, b))
-            }
-            (first, _) => first.map(|(_, id, k)| (id, k)),
-        };
-        if let Some((_, known)) = chosen {
-            let expected = known.load.expected_latency(now).unwrap_or_default();
+            Ranked { id, load: &known.load, accepts: !known.backoff.is_active(now), score }
+        });
+        let chosen = choose(now, ranked);
+        if let Some(target) = chosen {
+            let expected = target.load.expected_latency(now).unwrap_or_default();
             let late = expected - request.time_left.as_secs_f64();
-            if late > 0.0 || !known.load.has_window() {
+            if late > 0.0 || !target.load.has_window() {
                 return PickResult::Busy(Duration::from_secs_f64(late.max(0.0)));
             }
         }
-        let id = chosen.map(|(id, _)| id.clone()).or_else(|| self.pick_cold(now, request));
+        let id = chosen.map(|target| target.id.clone()).or_else(|| self.pick_cold(now, request));
         let Some((id, known)) = id.and_then(|id| self.targets.get_key_value(&id)) else {
             return PickResult::NoTarget;
         };
@@ -395,16 +379,3 @@
         (self.targets.len(), self.targets.values().filter(usable).count())
     }
 }
-
-/// A candidate for a request: its rank, whether it accepts requests before its score, its id and
-/// what is known of it.
-type Ranked<'a> = ((bool, f64), &'a TargetId, &'a KnownTarget);
-
-/// True if an affinity key's second target is to be used in place of the first.
-fn spills(now: Duration, first: &TargetLoad, second: &TargetLoad) -> bool {
-    if !first.has_window() {
-        return second.has_window();
-    }
-    !first.has_free_slot(now)
-        && second.requests_per_slot(now, SPILL_MARGIN) < first.requests_per_slot(now, 0.0)
-}
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -21,6 +21,7 @@
 mod load;
 mod pick;
 mod pool;
+mod ranking;
 mod reading;
 mod record;
 mod region_weights;
--- a/tests/front_config.rs
+++ b/tests/front_config.rs
@@ -25,6 +25,13 @@
     assert_eq!(config.place().region, "north".into());
     assert!(!config.bounds.fail_closed);
     assert_eq!(config.bounds.revoke.0, Duration::from_secs(5));
+    assert_eq!(config.cpu_millis(), 1_000, "one core unless the settings say otherwise");
+}
+
+#[test]
+fn a_processor_share_is_read_in_cores() {
+    let config = FrontConfig::parse(&format!("cpu = 0.14\n{MINIMAL}")).expect("settings");
+    assert_eq!(config.cpu_millis(), 140);
 }
 
 #[test]
@@ -39,6 +46,8 @@
         (MINIMAL.replace("port = 7000", "port = 0"), "peers.port: 0 is not a valid port"),
         (MINIMAL.replace("10.0.0.9:90", "the store"), "addr"),
         (MINIMAL.replace("[peers]", "[friends]"), "friends"),
+        (format!("cpu = 0.0\n{MINIMAL}"), "cpu: 0 is not between 0.001 and 1024 cores"),
+        (format!("cpu = nan\n{MINIMAL}"), "cpu: NaN is not between"),
         (bounds("revoke = \"5\""), "\"5\" has no unit"),
         (bounds("revoke = \"soon\""), "\"soon\" has no unit"),
         (bounds("revoke = \"-1s\""), "\"-1s\" is not a duration"),
