At a restart, read the other VMs' records at once; ask seeds only at the first start

Change: the platform says whether the whole system starts for the first time; only then seeds come first. A call does not wait for a session that is refused. Tests: steer_reading.

--- a/src/front/config.rs
+++ b/src/front/config.rs
@@ -31,6 +31,10 @@
     /// Processor share of this entry VM, in cores. Larger VMs are sent callers first.
     #[serde(default = "one_core")]
     pub cpu: f64,
+    /// True if the whole deployment starts for the first time. This VM then asks a seed for the other
+    /// VMs before it reads the store.
+    #[serde(default)]
+    pub first_start: bool,
     /// Region of every zone.
     #[serde(default)]
     pub zones: BTreeMap<ZoneId, RegionId>,
--- a/src/front/news.rs
+++ b/src/front/news.rs
@@ -100,16 +100,17 @@
     };
     ReadContext {
         upstream,
-        has_seeds: !front.config.peers.seeds.is_empty() && !is_seed(front),
+        asks_seeds: front.config.first_start && has_other_seeds(front),
         table_age: state.feeds[Feed::Table as usize].age(now),
         uptime: now.saturating_sub(front.started),
     }
 }
 
-/// True if other VMs may have this one among their seeds, since its settings list it.
-fn is_seed(front: &Front) -> bool {
+/// True if the settings list seeds and this VM is not among them.
+fn has_other_seeds(front: &Front) -> bool {
     let own = front.config.listen.callers.ip();
-    front.config.peers.seeds.iter().any(|seed| seed.ip() == own)
+    let seeds = &front.config.peers.seeds;
+    !seeds.is_empty() && seeds.iter().all(|seed| seed.ip() != own)
 }
 
 /// Keeps one feed up to date from the store, whenever [`ReadContext::must_read`] holds.
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -168,12 +168,15 @@
         }
     }
 
-    /// Waits at most `timeout` until there is a session.
+    /// Waits at most `timeout` until there is a session or the peer's host refuses one.
     async fn await_session(&self, timeout: Duration) {
         let mut state = self.state.clone();
-        let up = state.wait_for(|s| matches!(s, SessionState::Up(_)));
+        let decided = state.wait_for(|s| match s {
+            SessionState::Up(_) => true,
+            SessionState::Down { refusals } => *refusals > 0,
+        });
         // Without a session, the call itself fails and says so.
-        let _ = tokio::time::timeout(timeout, up).await;
+        let _ = tokio::time::timeout(timeout, decided).await;
     }
 
     fn error(&self, step: &'static str, maybe_sent: bool, cause: &str) -> PeerError {
--- a/src/steer/reading.rs
+++ b/src/steer/reading.rs
@@ -1,9 +1,10 @@
 //! Decides whether an entry VM reads a feed from the store itself.
 //!
 //! Each read costs the store a call, so only the leaders of regions read while all is well. A VM that
-//! starts asks a seed for the other VMs and then its upstream for the rest; with many VMs, the
-//! reads of all of them at the start of the fleet would exceed what the store can serve. A VM whose
-//! upstream fails reads the store in a bounded time, however many leaders are gone.
+//! starts reads only the records of the other VMs, and gets the rest from its upstream. When the whole
+//! fleet starts for the first time, it gets the records from a seed, too, since the reads of hundreds
+//! of VMs at once would exceed what the store can serve. A VM whose upstream fails reads the store in
+//! a bounded time, however many leaders are gone.
 
 use std::time::Duration;
 
@@ -32,9 +33,9 @@
 pub struct ReadContext {
     /// Where it syncs from.
     pub upstream: Upstream,
-    /// True if there are other VMs to ask for the records of the fleet, and this VM is not one of
-    /// those that the others ask.
-    pub has_seeds: bool,
+    /// True if the whole fleet starts for the first time and this VM has seeds to ask for the records
+    /// of the others.
+    pub asks_seeds: bool,
     /// Age of its routing table; `None` without one.
     pub table_age: Option<Duration>,
     /// Time since its start.
@@ -47,11 +48,11 @@
         match (self.upstream, self.table_age) {
             (Upstream::Own, _) => true,
             (_, Some(age)) => age > TABLE_AGE_MAX,
-            (Upstream::Unknown, None) if self.has_seeds => {
-                feed == Feed::Vms && self.uptime > SEED_PERIOD || self.uptime > FIRST_SYNC_PERIOD
+            (_, None) if self.uptime > FIRST_SYNC_PERIOD => true,
+            (Upstream::Unknown, None) => {
+                feed == Feed::Vms && (!self.asks_seeds || self.uptime > SEED_PERIOD)
             }
-            (Upstream::Unknown, None) => true,
-            (Upstream::Other, None) => self.uptime > FIRST_SYNC_PERIOD,
+            (Upstream::Other, None) => false,
         }
     }
 
