Probe a whole zone first when its targets fail together

Change: three different targets of a zone that fail within a second, with no answer from the zone in between, make all its targets be probed before they get requests. Tests: steer_targets.

--- a/src/steer/balancer.rs
+++ b/src/steer/balancer.rs
@@ -14,6 +14,7 @@
 use super::record::{TargetReadiness, TargetRecord};
 use super::region_weights::RegionWeights;
 use super::rendezvous::{NameHash, name_hash, rendezvous_score, weighted_score};
+use super::zone_failures::ZoneFailures;
 use crate::model::{RegionId, ServiceId, TargetId, ZoneId};
 
 /// Added to a target's reported remaining warm-up time.
@@ -80,6 +81,7 @@
     region_weights: RegionWeights,
     /// Zones whose cold targets this entry VM may send to.
     paced_zones: BTreeSet<ZoneId>,
+    zone_failures: HashMap<ZoneId, ZoneFailures>,
 }
 
 impl Balancer {
@@ -290,6 +292,9 @@
     pub fn record_latency(&mut self, now: Duration, pick: &Pick, latency: Duration) {
         if let Some(known) = self.targets.get_mut(&pick.id) {
             known.backoff.record_answer(now);
+            if let Some(failures) = self.zone_failures.get_mut(&pick.zone) {
+                failures.record_answer();
+            }
             known.load.record_latency(now, pick.queue, latency);
         }
     }
@@ -311,13 +316,25 @@
         }
     }
 
-    /// Marks a target that refused a connection or broke off a response; it is probed next.
+    /// Marks a target that refused a connection or broke off a response; it is probed next. If its
+    /// whole zone seems to be gone, all targets of the zone are.
     pub fn mark_failed(&mut self, now: Duration, id: &TargetId) {
-        if let Some(known) = self.targets.get_mut(id)
-            && known.trust == TargetTrust::Trusted
-        {
+        let Some(known) = self.targets.get_mut(id) else { return };
+        if known.trust == TargetTrust::Trusted {
             known.trust = TargetTrust::Unproven { due: now + PROBE_BACKOFF, failures: 0 };
         }
+        let zone = known.record.zone.clone();
+        if self.zone_failures.entry(zone.clone()).or_default().record_failure(now, id) {
+            self.distrust_zone(now, &zone);
+        }
+    }
+
+    /// Probes all targets of a zone before they get requests again.
+    fn distrust_zone(&mut self, now: Duration, zone: &ZoneId) {
+        let in_zone = self.targets.values_mut().filter(|k| k.record.zone == *zone);
+        for known in in_zone.filter(|k| k.trust == TargetTrust::Trusted) {
+            known.trust = TargetTrust::Unproven { due: now, failures: 0 };
+        }
     }
 
     /// Marks a target at whose address another process responded.
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -29,6 +29,7 @@
 mod replica;
 mod retries;
 mod table;
+mod zone_failures;
 
 pub use balancer::{Balancer, TargetTrust};
 pub use fleet::{Fleet, Liveness, VmRecord};
--- a/tests/steer_targets.rs
+++ b/tests/steer_targets.rs
@@ -461,3 +461,44 @@
     assert_ne!(request.pick(&mut balancer, ms(21), "zoo"), Some(first.clone()));
     assert_eq!(request.pick(&mut balancer, ms(130), "zoo"), Some(first), "it is tried again");
 }
+
+/// A zone loses power. Targets that have not failed a request yet are probed first, too.
+#[test]
+fn a_zone_whose_targets_fail_together_gets_no_requests_until_probed() {
+    let mut balancer = balancer(30);
+    let in_zone = |n: &u16| n % 3 == 1;
+    let zone: Vec<u16> = (0..30).filter(in_zone).collect();
+    for (step, number) in zone.iter().take(3).enumerate() {
+        balancer.mark_failed(ms(100 + step as u64), &id(*number));
+    }
+    let used = targets_of_keys(&mut balancer, ms(110));
+    assert!(used.iter().flatten().all(|t| !zone.iter().any(|n| *t == id(*n))), "zone b is gone");
+    let due: BTreeSet<TargetId> =
+        balancer.due_probes(ms(400)).into_iter().map(|(id, ..)| id).collect();
+    assert_eq!(due, zone.iter().map(|n| id(*n)).collect(), "all are probed");
+    for target in due {
+        balancer.record_probe(ms(500), &target, Some(Duration::ZERO));
+    }
+    assert!(zone.iter().all(|n| balancer.trust(&id(*n)) == Some(TargetTrust::Trusted)));
+}
+
+#[test]
+fn single_failures_leave_a_zone_in_use() {
+    let mut balancer = balancer(30);
+    let answering = |balancer: &mut Balancer, now| {
+        let request = Request { region: "south".into(), ..Request::default() };
+        let pick = (0..50).find_map(|n| match request.pick_result(balancer, now, &n.to_string()) {
+            PickResult::Target(pick) if pick.zone == "c".into() => Some(pick),
+            _ => None,
+        });
+        balancer.record_latency(now, &pick.expect("a target of zone c"), ms(100));
+    };
+    // Zone c has the targets 2, 5, 8 and so on.
+    balancer.mark_failed(ms(100), &id(2));
+    balancer.mark_failed(ms(110), &id(5));
+    answering(&mut balancer, ms(120));
+    balancer.mark_failed(ms(130), &id(8));
+    balancer.mark_failed(ms(1_500), &id(11));
+    balancer.mark_failed(ms(1_510), &id(14));
+    assert_eq!(balancer.trust(&id(17)), Some(TargetTrust::Trusted));
+}
