--- a/src/steer/fleet.rs
+++ b/src/steer/fleet.rs
@@ -97,6 +97,8 @@
     me: VmId,
     place: Place,
     regions: BTreeMap<ZoneId, RegionId>,
+    /// Hash of [`CALLER_ORDER`].
+    caller_order: NameHash,
     /// VMs with a record in the store.
     vms: BTreeMap<VmId, RegisteredVm>,
     /// Other VMs that were reported to run.
@@ -109,7 +111,8 @@
     /// A fleet with no records and no reports. `regions` maps each zone to its region.
     pub fn new(me: VmId, place: Place, regions: BTreeMap<ZoneId, RegionId>) -> Self {
         let (vms, live, avoided) = Default::default();
-        Self { me, place, regions, vms, live, avoided }
+        let caller_order = name_hash(CALLER_ORDER);
+        Self { me, place, regions, caller_order, vms, live, avoided }
     }
 
     /// Adds or replaces the record of a VM.
@@ -167,7 +170,7 @@
         };
         let mut out = Vec::new();
         for (zone, mut vms) in zones {
-            vms.sort_by_key(|(vm, _)| Reverse(self.caller_rank(vm)));
+            vms.sort_by_cached_key(|(vm, _)| Reverse(self.caller_rank(vm)));
             let passed_on = self.caller_vm_count(zone) * LIVENESS_FACTOR;
             out.extend(vms.into_iter().take(passed_on).map(report));
         }
@@ -181,10 +184,7 @@
 
     /// Rank of a VM in the order in which callers are sent to a zone's VMs; the highest is first.
     fn caller_rank(&self, vm: &VmId) -> (u32, u64) {
-        match self.vms.get(vm) {
-            Some(member) => member.rank(name_hash(CALLER_ORDER)),
-            None => (0, 0),
-        }
+        self.vms.get(vm).map_or((0, 0), |member| member.rank(self.caller_order))
     }
 
     /// The number of VMs of a zone that look-ups return: the first in the callers' order that have
