--- a/src/front/rates.rs
+++ b/src/front/rates.rs
@@ -59,10 +59,16 @@
     }
 }
 
+/// Time from one draw from the pool to the next, unless there is demand. It is short until the share
+/// is lent, since requests after a start find no tokens until then.
 fn pool_draw_interval(front: &Front) -> Duration {
-    let fleet = &front.state.lock().fleet;
-    let lends = fleet.is_empty() || fleet.own_share() > 0.0;
-    match lends || fleet.is_zone_leader(clock::now()) {
+    let now = clock::now();
+    let state = front.state.lock();
+    let lends = state.fleet.is_empty() || state.fleet.own_share() > 0.0;
+    if lends && !state.limiter.is_lent(now) {
+        return POOL_DRAW_INTERVAL_MIN;
+    }
+    match lends || state.fleet.is_zone_leader(now) {
         true => POOL_DRAW_INTERVAL,
         false => IDLE_POOL_DRAW_INTERVAL,
     }
--- a/src/steer/limiter.rs
+++ b/src/steer/limiter.rs
@@ -193,6 +193,11 @@
         new
     }
 
+    /// True if the share counts as lent to a pool.
+    pub fn is_lent(&self, now: Duration) -> bool {
+        self.loan.as_ref().is_some_and(|l| l.ends > now)
+    }
+
     /// Allows the share to be used, since the pool holds no loan of an earlier incarnation.
     pub fn clear_prior_loan(&mut self, now: Duration) {
         self.prior_loan_until = self.prior_loan_until.min(now);
--- a/tests/steer_rates.rs
+++ b/tests/steer_rates.rs
@@ -299,7 +299,9 @@
         "no token has accrued yet"
     );
     assert_eq!(limiter.take(ms(900), &customer, true), TakeResult::Taken);
+    assert!(!limiter.is_lent(ms(999)));
     limiter.start_loan(ms(1_000), &VmId::new("pool"), (1, ms(77_000)));
+    assert!(limiter.is_lent(ms(2_200)) && !limiter.is_lent(ms(2_260)));
     while limiter.take(ms(1_000), &customer, false) == TakeResult::Taken {}
     assert_eq!(
         limiter.take(ms(2_100), &customer, false),
