Grant whole tokens, and spread fewer of them ahead of demand

A zone's leader hands out parts of tokens that admit no request, and zones hold tokens for 1.1 s ahead; a request waits 260 ms, less than a far zone's draw takes. Change: a leader grants only what completes a token; zones hold 0.7 s ahead and 0.15 of a burst; the leader waits 300 ms, a request 350 ms.

--- a/src/front/rates.rs
+++ b/src/front/rates.rs
@@ -29,11 +29,11 @@
 /// Shortest interval of the draws from the zone leader, while requests wait for tokens.
 const LEADER_DRAW_INTERVAL_MIN: Duration = Duration::from_millis(5);
 /// Timeout of a draw from the zone leader.
-const LEADER_DRAW_TIMEOUT: Duration = Duration::from_millis(350);
+const LEADER_DRAW_TIMEOUT: Duration = Duration::from_millis(450);
 /// Time for which a zone leader waits for tokens before it responds without any.
-const GRANT_TIMEOUT: Duration = Duration::from_millis(200);
+const GRANT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time for which a request waits for a token.
-const TOKEN_TIMEOUT: Duration = Duration::from_millis(260);
+const TOKEN_TIMEOUT: Duration = Duration::from_millis(350);
 /// Time after the start in which the first tokens may not have arrived.
 const STARTUP_PERIOD: Duration = Duration::from_millis(1_500);
 /// Time for which a request waits for a token during [`STARTUP_PERIOD`].
@@ -216,7 +216,7 @@
     for want in wants {
         let customer = index.table().customers.iter().find(|c| c.id == want.customer);
         let Some(customer) = customer else { continue };
-        let tokens = state.zone_limiter.take_up_to(now, customer, want.tokens);
+        let tokens = state.zone_limiter.take_for(now, customer, want);
         short |= tokens < want.tokens;
         if tokens > 0.0 {
             grants.push(TokenGrant { customer: want.customer.clone(), tokens });
--- a/src/front/state.rs
+++ b/src/front/state.rs
@@ -30,9 +30,9 @@
 /// Time for which a VM's tokens should last; short, since the zone leader is in the same zone.
 const VM_TOKEN_HORIZON: Duration = Duration::from_millis(300);
 /// Time for which a zone's tokens should last; longer, since the pool may be in another region.
-const ZONE_TOKEN_HORIZON: Duration = Duration::from_millis(1_100);
+const ZONE_TOKEN_HORIZON: Duration = Duration::from_millis(700);
 /// Fraction of each burst that a zone keeps in reserve.
-const ZONE_BURST_FRACTION: f64 = 0.1;
+const ZONE_BURST_FRACTION: f64 = 0.15;
 /// Fraction of `bounds.rate_slack` that may be held as tokens beyond a burst.
 const SLACK_FRACTION: f64 = 0.5;
 
--- a/src/steer/limiter.rs
+++ b/src/steer/limiter.rs
@@ -130,16 +130,18 @@
         if now < bucket.exhausted_until { TakeResult::Exhausted } else { TakeResult::Empty }
     }
 
-    /// Takes at most `tokens` for another VM. The tokens taken count as demand; those that are
-    /// lacking are added to the next request to the pool.
-    pub fn take_up_to(&mut self, now: Duration, customer: &Customer, tokens: f64) -> f64 {
+    /// Takes tokens for another VM's request, at most as many as it asks for; none if the VM would
+    /// then still hold less than one, which admits no request. The tokens taken count as demand;
+    /// those that are lacking are added to the next request to the pool.
+    pub fn take_for(&mut self, now: Duration, customer: &Customer, request: &TokenRequest) -> f64 {
         let usable = self.usable_share(now);
         let bucket = self.buckets.entry(customer.id.clone()).or_default();
         bucket.refill(now, customer, usable);
-        let taken = tokens.min(bucket.tokens).max(0.0);
+        let available = request.tokens.min(bucket.tokens).max(0.0);
+        let taken = if request.held + available < 1.0 { 0.0 } else { available };
         bucket.tokens -= taken;
         bucket.demand += taken / DEMAND_WINDOW.as_secs_f64();
-        bucket.missed = bucket.missed.max(tokens - taken);
+        bucket.missed = bucket.missed.max(request.tokens - taken);
         taken
     }
 
