--- a/src/front/news.rs
+++ b/src/front/news.rs
@@ -22,7 +22,7 @@
 /// Interval of the requests to the upstream VM.
 const SYNC_INTERVAL: Duration = Duration::from_millis(250);
 /// Interval of the requests of a VM without a routing table.
-const FIRST_SYNC_INTERVAL: Duration = Duration::from_millis(100);
+const FIRST_SYNC_INTERVAL: Duration = Duration::from_millis(50);
 /// Timeout of a request to the upstream VM.
 const SYNC_TIMEOUT: Duration = Duration::from_millis(400);
 /// Timeout of a request to another zone or a seed.
@@ -47,6 +47,8 @@
 const READ_RETRY_INTERVAL: Duration = Duration::from_millis(400);
 /// Interval of the checks whether this VM must read the store.
 const ROLE_POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval of these checks until there is a routing table.
+const FIRST_ROLE_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Interval of the attempts to write this VM's record.
 const ANNOUNCE_RETRY_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -117,7 +119,8 @@
 async fn follow_feed(front: Arc<Front>, feed: Feed) {
     let mut unreachable = false;
     loop {
-        let must_read = read_context(&front).must_read(feed);
+        let context = read_context(&front);
+        let must_read = context.must_read(feed);
         if !must_read {
             // This VM syncs from another one, so it no longer knows whether the store responds.
             front.store_unreachable.store(false, Ordering::Relaxed);
@@ -125,7 +128,8 @@
         // While the store is unreachable, only the routing table's feed retries; the others wait.
         let waits = feed != Feed::Table && front.store_unreachable.load(Ordering::Relaxed);
         if waits || !must_read {
-            sleep(ROLE_POLL_INTERVAL).await;
+            let first = context.table_age.is_none();
+            sleep(if first { FIRST_ROLE_POLL_INTERVAL } else { ROLE_POLL_INTERVAL }).await;
             continue;
         }
         let sent = clock::now();
