--- a/src/front/state.rs
+++ b/src/front/state.rs
@@ -27,8 +27,9 @@
 /// Time after its start for which a new VM doesn't use its share of the rates, so that the others
 /// can learn of it first.
 const JOIN_DELAY: Duration = Duration::from_secs(5);
-/// Time for which a VM's tokens should last; short, since the zone leader is in the same zone.
-const VM_TOKEN_HORIZON: Duration = Duration::from_millis(300);
+/// Time for which a VM's tokens should last; short, since the zone leader is in the same zone
+/// and a token that waits at one VM is missing at the others.
+const VM_TOKEN_HORIZON: Duration = Duration::from_millis(100);
 /// Time for which a zone's tokens should last; longer, since the pool may be in another region.
 const ZONE_TOKEN_HORIZON: Duration = Duration::from_millis(700);
 /// Fraction of each burst that a zone keeps in reserve.
--- a/tests/steer_fleet_rates.rs
+++ b/tests/steer_fleet_rates.rs
@@ -37,6 +37,9 @@
 const POOL_DRAW_MS: (u64, u64) = (100, 350);
 /// Time for which a leader waits for tokens before it answers without any.
 const GRANT_TIMEOUT_MS: u64 = 300;
+/// A wait for a token from which a caller would notice it, and how many requests may wait so long.
+const LONG_WAIT_MS: u64 = 100;
+const LONG_WAITS_MAX: f64 = 0.05;
 /// Wrongful refusals that are allowed, as a fraction of all requests.
 const WRONGFUL_MAX: f64 = 0.005;
 
@@ -127,8 +130,17 @@
     pool_name: VmId,
     messages: VecDeque<(u64, Message)>,
     oracle: Vec<(f64, u64)>,
+    result: Outcome,
+}
+
+/// What became of the requests.
+#[derive(Clone, Copy, Debug, Default)]
+struct Outcome {
     requests: usize,
+    /// Refused, although the oracle admits them.
     wrongful: usize,
+    /// Admitted after a long wait.
+    late: usize,
 }
 
 /// The VMs with a share, as the fleet's records of `count` VMs say.
@@ -152,7 +164,7 @@
         }
         let share = fleet.own_share();
         if share > 0.0 {
-            let limiter = RateLimiter::new(ms(0), ms(300), 0.0);
+            let limiter = RateLimiter::new(ms(0), ms(100), 0.0);
             let (zone, drew, drew_pool) = (me % ZONES, 0, me as u64 * 7 % POOL_DRAW_MS.1);
             let (waiting, demand, drawing) = (Vec::new(), false, false);
             out.push(Vm {
@@ -189,12 +201,11 @@
             vms,
             messages: VecDeque::new(),
             oracle: vec![(BURST, 0); CUSTOMERS],
-            requests: 0,
-            wrongful: 0,
+            result: Outcome::default(),
         }
     }
 
-    fn run(mut self) -> (usize, usize) {
+    fn run(mut self) -> Outcome {
         let per_step = CUSTOMERS as f64 * RATE * LOAD * STEP_MS as f64 / 1_000.0;
         let mut due = 0.0;
         for now in (0..RUN_MS).step_by(STEP_MS as usize) {
@@ -215,7 +226,7 @@
                 self.draw_for_zone(now, zone);
             }
         }
-        (self.requests, self.wrongful)
+        self.result
     }
 
     fn arrive(&mut self, now: u64) {
@@ -225,7 +236,7 @@
         let tokens = (tokens + (now - updated) as f64 / 1_000.0 * RATE).min(BURST);
         let admitted_by_oracle = tokens >= 1.0;
         self.oracle[customer] = (tokens - f64::from(u8::from(admitted_by_oracle)), now);
-        self.requests += 1;
+        self.result.requests += 1;
         let request = Waiting { customer, since: now, first: true, admitted_by_oracle };
         self.vms[vm].waiting.push(request);
     }
@@ -240,12 +251,14 @@
             request.first = false;
             let late = now - request.since >= TOKEN_TIMEOUT_MS;
             match result {
-                TakeResult::Taken => continue,
+                TakeResult::Taken => {
+                    self.result.late += usize::from(now - request.since >= LONG_WAIT_MS);
+                }
                 TakeResult::Empty if !late => {
                     vm.demand = true;
                     vm.waiting.push(request);
                 }
-                _ => self.wrongful += usize::from(request.admitted_by_oracle),
+                _ => self.result.wrongful += usize::from(request.admitted_by_oracle),
             }
         }
     }
@@ -356,11 +369,16 @@
 #[test]
 fn customers_inside_their_rate_find_tokens_at_every_size() {
     for count in [18, 134, 295, 880] {
-        let (requests, wrongful) = Simulation::new(count).run();
-        let fraction = wrongful as f64 / requests as f64;
+        let Outcome { requests, wrongful, late } = Simulation::new(count).run();
+        let (wrongful_max, late_max) =
+            (WRONGFUL_MAX * requests as f64, LONG_WAITS_MAX * requests as f64);
         assert!(
-            fraction <= WRONGFUL_MAX,
+            wrongful as f64 <= wrongful_max,
             "{count} VMs: {wrongful} of {requests} requests are refused wrongly"
         );
+        assert!(
+            late as f64 <= late_max,
+            "{count} VMs: {late} of {requests} requests wait long for a token"
+        );
     }
 }
