A customer over its rate no longer delays the others' tokens

Cause: a VM draws from its zone leader one request after the other, and the leader holds a draw for which it has no tokens for 300 ms. Change: up to 16 draws in progress, each for customers without one.

--- a/src/front/rates.rs
+++ b/src/front/rates.rs
@@ -2,9 +2,11 @@
 //! on one VM. Each zone leader draws tokens from the pool, and the other VMs of the zone draw from
 //! their leader.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::task::JoinSet;
 use tokio::time::timeout;
 
 use crate::clock;
@@ -30,6 +32,8 @@
 const LEADER_DRAW_INTERVAL_MIN: Duration = Duration::from_millis(5);
 /// Timeout of a draw from the zone leader.
 const LEADER_DRAW_TIMEOUT: Duration = Duration::from_millis(450);
+/// Most draws from the zone leader in progress.
+const LEADER_DRAWS_MAX: usize = 16;
 /// Time for which a zone leader waits for tokens before it responds without any.
 const GRANT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time for which a request waits for a token.
@@ -94,14 +98,14 @@
         let (timestamp, grants) = front.draw_from_own_pool(&pool, loan, &wants);
         // The pool is in this process, so it can't hold a loan of an earlier incarnation.
         front.state.lock().limiter.clear_prior_loan(clock::now());
-        front.apply_grants(&pool, (front.me.incarnation, timestamp), &grants);
+        front.apply_grants(&pool, (front.me.incarnation, timestamp), &wants, &grants);
         return;
     }
     let (share, (incarnation, timestamp)) = loan.unwrap_or_default();
-    let wants = wants.iter().map(WireTokenRequest::from).collect();
+    let wire_wants = wants.iter().map(WireTokenRequest::from).collect();
     let stamp_us = timestamp.as_micros() as u64;
     let deaths = front.recent_crashes();
-    let draw = DrawRequest { share, stamp_us, wants, incarnation, zone: false, deaths };
+    let draw = DrawRequest { share, stamp_us, wants: wire_wants, incarnation, zone: false, deaths };
     match draw_response(
         front.sessions.call(&pool, addr, Body::DrawRequest(draw), POOL_DRAW_TIMEOUT).await,
     ) {
@@ -112,6 +116,7 @@
                 let mut state = front.state.lock();
                 state.fleet.mark_leaving(clock::now(), &pool);
                 state.limiter.end_loan(clock::now(), &pool);
+                state.zone_limiter.cancel_requests(&wants);
                 front.zone_demand.notify_one();
                 return;
             }
@@ -120,62 +125,87 @@
                 front.state.lock().limiter.clear_prior_loan(clock::now());
             }
             let timestamp = (drawn.incarnation, Duration::from_micros(drawn.stamp_us));
-            front.apply_grants(&pool, timestamp, &grants);
+            front.apply_grants(&pool, timestamp, &wants, &grants);
         }
         Err(e) => {
             log::info!("rates: drawing from the pool on {pool} failed: {e}.");
-            front.state.lock().fleet.mark_unresponsive(clock::now(), &pool);
+            let mut state = front.state.lock();
+            state.fleet.mark_unresponsive(clock::now(), &pool);
+            state.zone_limiter.cancel_requests(&wants);
         }
     }
 }
 
-/// Draws this VM's tokens from the zone leader.
+/// Draws this VM's tokens from the zone leader. Several draws may be in progress, each for other
+/// customers, since the leader answers late for a customer that has exhausted its rate.
 async fn run_leader_draws(front: Arc<Front>) {
+    let mut draws = JoinSet::new();
     loop {
-        draw_from_leader(&front).await;
-        front.token_supply.notify_waiters();
+        while draws.try_join_next().is_some() {}
+        if draws.len() < LEADER_DRAWS_MAX
+            && let Some(draw) = next_leader_draw(&front)
+        {
+            draws.spawn(draw_from_leader(front.clone(), draw));
+        }
         tokio::time::sleep(LEADER_DRAW_INTERVAL_MIN).await;
         // A timeout and a notification both start the next draw.
         let _ = timeout(LEADER_DRAW_INTERVAL, front.token_demand.notified()).await;
     }
 }
 
-async fn draw_from_leader(front: &Front) {
+/// A draw from the zone leader.
+struct LeaderDraw {
+    leader: VmId,
+    addr: SocketAddr,
+    wants: Vec<TokenRequest>,
+}
+
+/// The next draw, if tokens are wanted and the leader is known.
+fn next_leader_draw(front: &Front) -> Option<LeaderDraw> {
     let now = clock::now();
-    let Some(index) = front.state.index() else { return };
-    let (leader, addr, wants) = {
-        let mut state = front.state.lock();
-        let Some(leader) = state.fleet.zone_leader(now) else { return };
-        let Some(addr) = state.fleet.record(&leader).map(|e| e.peers) else { return };
-        let mut wants = state.limiter.token_requests(now, index.table());
-        wants.retain(|w| w.tokens > 0.0);
-        (leader, addr, wants)
+    let index = front.state.index()?;
+    let mut state = front.state.lock();
+    let leader = state.fleet.zone_leader(now)?;
+    let addr = state.fleet.record(&leader)?.peers;
+    let mut wants = state.limiter.token_requests(now, index.table());
+    wants.retain(|w| w.tokens > 0.0);
+    (!wants.is_empty()).then_some(LeaderDraw { leader, addr, wants })
+}
+
+async fn draw_from_leader(front: Arc<Front>, draw: LeaderDraw) {
+    let LeaderDraw { leader, addr, wants } = draw;
+    let grants = match leader == front.me.vm {
+        true => Ok(grant_zone_tokens(&front, &wants).await),
+        false => request_grants(&front, &leader, addr, &wants).await,
     };
-    if wants.is_empty() {
-        return;
-    }
-    let grants = if leader == front.me.vm {
-        grant_zone_tokens(front, &wants).await
-    } else {
-        let wants = wants.iter().map(WireTokenRequest::from).collect();
-        let draw = DrawRequest { wants, zone: true, ..DrawRequest::default() };
-        match draw_response(
-            front.sessions.call(&leader, addr, Body::DrawRequest(draw), LEADER_DRAW_TIMEOUT).await,
-        ) {
-            Ok(drawn) => {
-                if drawn.leaving {
-                    front.state.lock().fleet.mark_leaving(clock::now(), &leader);
-                }
-                drawn.grants.iter().map(|g| g.to_token_grant()).collect()
-            }
+    {
+        let mut state = front.state.lock();
+        match grants {
+            Ok(grants) => state.limiter.add_grants(clock::now(), &wants, &grants),
             Err(e) => {
                 log::info!("rates: drawing from zone leader {leader} failed: {e}.");
-                front.state.lock().fleet.mark_unresponsive(clock::now(), &leader);
-                return;
+                state.fleet.mark_unresponsive(clock::now(), &leader);
+                state.limiter.cancel_requests(&wants);
             }
         }
-    };
-    front.state.lock().limiter.add_grants(clock::now(), &grants);
+    }
+    front.token_supply.notify_waiters();
+}
+
+async fn request_grants(
+    front: &Front,
+    leader: &VmId,
+    addr: SocketAddr,
+    wants: &[TokenRequest],
+) -> Result<Vec<TokenGrant>, String> {
+    let wants = wants.iter().map(WireTokenRequest::from).collect();
+    let draw = DrawRequest { wants, zone: true, ..DrawRequest::default() };
+    let call = front.sessions.call(leader, addr, Body::DrawRequest(draw), LEADER_DRAW_TIMEOUT);
+    let drawn = draw_response(call.await)?;
+    if drawn.leaving {
+        front.state.lock().fleet.mark_leaving(clock::now(), leader);
+    }
+    Ok(drawn.grants.iter().map(|g| g.to_token_grant()).collect())
 }
 
 fn draw_response(response: Result<Body, PeerError>) -> Result<DrawResponse, String> {
@@ -255,11 +285,17 @@
 
 impl Front {
     /// Applies the pool's response: the share counts as lent, and the grants go to the zone.
-    fn apply_grants(&self, pool: &VmId, timestamp: PoolTimestamp, grants: &[TokenGrant]) {
+    fn apply_grants(
+        &self,
+        pool: &VmId,
+        timestamp: PoolTimestamp,
+        wants: &[TokenRequest],
+        grants: &[TokenGrant],
+    ) {
         let mut state = self.state.lock();
         let now = clock::now();
         let new = state.limiter.start_loan(now, pool, timestamp);
-        state.zone_limiter.add_grants(now, grants);
+        state.zone_limiter.add_grants(now, wants, grants);
         if new && state.fleet.own_share() > 0.0 {
             // Only the next draw can lend the share, since it must return this timestamp.
             self.zone_demand.notify_one();
--- a/src/steer/limiter.rs
+++ b/src/steer/limiter.rs
@@ -76,7 +76,7 @@
     updated: Duration,
     /// Requests that found no token since tokens were last requested from the pool.
     missed: f64,
-    /// Tokens requested and not granted yet.
+    /// Tokens of the last request; zero once it has a response.
     requested: f64,
     /// Until then, the rate counts as exhausted.
     exhausted_until: Duration,
@@ -145,19 +145,23 @@
         taken
     }
 
-    /// The requests to send to the pool or the zone leader.
+    /// The requests to send to the pool or the zone leader. A customer whose last request has no
+    /// response yet is left out, so that requests for others need not wait for it.
     pub fn token_requests(&mut self, now: Duration, table: &Table) -> Vec<TokenRequest> {
         let usable = self.usable_share(now);
         let mut out = Vec::new();
         for customer in table.customers.iter().filter(|c| c.rate > 0.0) {
             let bucket = self.buckets.entry(customer.id.clone()).or_default();
             bucket.refill(now, customer, usable);
+            if bucket.requested > 0.0 {
+                continue;
+            }
             let reserve = customer.burst * self.reserve;
             let goal = bucket.demand * self.ahead.as_secs_f64() + bucket.missed + reserve;
             bucket.missed = 0.0;
             let tokens = (goal.min(customer.burst) - bucket.tokens).max(0.0);
-            bucket.requested = tokens;
             if tokens >= REQUEST_MIN || bucket.tokens >= REQUEST_MIN {
+                bucket.requested = tokens;
                 let (customer, held) = (customer.id.clone(), bucket.tokens);
                 out.push(TokenRequest { customer, tokens, held });
             }
@@ -214,15 +218,16 @@
         }
     }
 
-    /// Adds the tokens granted for the last requests. A customer counts as exhausted for a while if
-    /// at least one requested token was not granted and less than one is left.
-    pub fn add_grants(&mut self, now: Duration, grants: &[TokenGrant]) {
+    /// Adds the tokens granted for `requests`. A customer counts as exhausted for a while if at least
+    /// one requested token was not granted and less than one is left.
+    pub fn add_grants(&mut self, now: Duration, requests: &[TokenRequest], grants: &[TokenGrant]) {
         for grant in grants {
             let bucket = self.buckets.entry(grant.customer.clone()).or_default();
             bucket.tokens += grant.tokens;
             bucket.requested -= grant.tokens;
         }
-        for bucket in self.buckets.values_mut() {
+        for request in requests {
+            let Some(bucket) = self.buckets.get_mut(&request.customer) else { continue };
             if bucket.requested >= 1.0 && bucket.tokens < 1.0 {
                 bucket.exhausted_until = now + EXHAUSTED_TTL;
             }
@@ -230,6 +235,15 @@
         }
     }
 
+    /// Records that `requests` will get no response.
+    pub fn cancel_requests(&mut self, requests: &[TokenRequest]) {
+        for request in requests {
+            if let Some(bucket) = self.buckets.get_mut(&request.customer) {
+                bucket.requested = 0.0;
+            }
+        }
+    }
+
     /// The share that this VM itself may use now, and since when.
     fn usable_share(&self, now: Duration) -> UsableShare {
         let lent = self.loan.as_ref().map_or(Duration::ZERO, |l| l.ends);
--- a/tests/steer_fleet_rates.rs
+++ b/tests/steer_fleet_rates.rs
@@ -1,4 +1,5 @@
-//! Rates at the size of a fleet, from 16 to 880 VMs: a customer inside its rate finds its tokens.
+//! Rates at the size of a fleet, from 18 to 880 VMs: a customer inside its rate finds its tokens,
+//! although another one exhausts its own.
 //!
 //! The simulation drives the real limiters and the pool with seeded arrivals. Its oracle is one
 //! global token bucket over the same arrivals: a request that the oracle admits and the fleet
@@ -28,6 +29,8 @@
 const NEAR_MS: u64 = 5;
 /// Requests of a customer as a fraction of its rate.
 const LOAD: f64 = 0.6;
+/// Requests of the first customer as a fraction of its rate, which it exhausts.
+const HOT_LOAD: f64 = 4.0;
 const RATE: f64 = 15.0;
 const BURST: f64 = 15.0;
 /// Time for which a request waits for a token.
@@ -70,8 +73,6 @@
     drew: u64,
     drew_pool: u64,
     demand: bool,
-    /// True while a draw from the leader has no answer.
-    drawing: bool,
 }
 
 /// A request that waits for a token.
@@ -100,6 +101,7 @@
     /// From the leader.
     Grants {
         vm: usize,
+        wants: Vec<TokenRequest>,
         grants: Vec<TokenGrant>,
     },
     /// To the pool, from the VM that lends or the leader that draws.
@@ -117,6 +119,7 @@
     },
     ZoneGrants {
         zone: usize,
+        wants: Vec<TokenRequest>,
         grants: Vec<TokenGrant>,
     },
 }
@@ -166,18 +169,8 @@
         if share > 0.0 {
             let limiter = RateLimiter::new(ms(0), ms(100), 0.0);
             let (zone, drew, drew_pool) = (me % ZONES, 0, me as u64 * 7 % POOL_DRAW_MS.1);
-            let (waiting, demand, drawing) = (Vec::new(), false, false);
-            out.push(Vm {
-                name: name(me),
-                zone,
-                share,
-                limiter,
-                waiting,
-                drew,
-                drew_pool,
-                demand,
-                drawing,
-            });
+            let (waiting, demand) = (Vec::new(), false);
+            out.push(Vm { name: name(me), zone, share, limiter, waiting, drew, drew_pool, demand });
         }
     }
     out
@@ -206,16 +199,23 @@
     }
 
     fn run(mut self) -> Outcome {
-        let per_step = CUSTOMERS as f64 * RATE * LOAD * STEP_MS as f64 / 1_000.0;
-        let mut due = 0.0;
+        let step_s = STEP_MS as f64 / 1_000.0;
+        let per_step = (CUSTOMERS - 1) as f64 * RATE * LOAD * step_s;
+        let (mut due, mut hot_due) = (0.0, 0.0);
         for now in (0..RUN_MS).step_by(STEP_MS as usize) {
             self.deliver_due(now);
             if now >= START_MS {
                 due += per_step;
+                hot_due += RATE * HOT_LOAD * step_s;
             }
             while due >= 1.0 {
                 due -= 1.0;
-                self.arrive(now);
+                let customer = self.rng.random_range(1..CUSTOMERS);
+                self.arrive(now, customer);
+            }
+            while hot_due >= 1.0 {
+                hot_due -= 1.0;
+                self.arrive(now, 0);
             }
             for vm in 0..self.vms.len() {
                 self.serve(now, vm);
@@ -229,14 +229,15 @@
         self.result
     }
 
-    fn arrive(&mut self, now: u64) {
-        let customer = self.rng.random_range(0..CUSTOMERS);
+    fn arrive(&mut self, now: u64, customer: usize) {
         let vm = self.rng.random_range(0..self.vms.len());
         let (tokens, updated) = self.oracle[customer];
         let tokens = (tokens + (now - updated) as f64 / 1_000.0 * RATE).min(BURST);
-        let admitted_by_oracle = tokens >= 1.0;
-        self.oracle[customer] = (tokens - f64::from(u8::from(admitted_by_oracle)), now);
-        self.result.requests += 1;
+        let admitted = tokens >= 1.0;
+        self.oracle[customer] = (tokens - f64::from(u8::from(admitted)), now);
+        let counts = customer != 0;
+        self.result.requests += usize::from(counts);
+        let admitted_by_oracle = admitted && counts;
         let request = Waiting { customer, since: now, first: true, admitted_by_oracle };
         self.vms[vm].waiting.push(request);
     }
@@ -252,7 +253,8 @@
             let late = now - request.since >= TOKEN_TIMEOUT_MS;
             match result {
                 TakeResult::Taken => {
-                    self.result.late += usize::from(now - request.since >= LONG_WAIT_MS);
+                    let late = now - request.since >= LONG_WAIT_MS;
+                    self.result.late += usize::from(late && request.customer != 0);
                 }
                 TakeResult::Empty if !late => {
                     vm.demand = true;
@@ -267,12 +269,11 @@
         let far = self.delay(self.vms[number].zone);
         let vm = &mut self.vms[number];
         let interval = if vm.demand { LEADER_DRAW_MS.0 } else { LEADER_DRAW_MS.1 };
-        if !vm.drawing && now >= vm.drew + interval {
+        if now >= vm.drew + interval {
             (vm.drew, vm.demand) = (now, false);
             let mut wants = vm.limiter.token_requests(ms(now), &self.table);
             wants.retain(|w| w.tokens > 0.0);
             if !wants.is_empty() {
-                vm.drawing = true;
                 self.messages.push_back((now + NEAR_MS, Message::Draw { vm: number, wants }));
             }
         }
@@ -312,8 +313,7 @@
             if grants.is_empty() && now < until {
                 zone.pending.push((vm, wants, until));
             } else {
-                self.vms[vm].drawing = false;
-                self.messages.push_back((now + NEAR_MS, Message::Grants { vm, grants }));
+                self.messages.push_back((now + NEAR_MS, Message::Grants { vm, wants, grants }));
             }
         }
     }
@@ -339,7 +339,9 @@
                 let zone = self.vms[vm].zone;
                 self.zones[zone].pending.push((vm, wants, now + GRANT_TIMEOUT_MS));
             }
-            Message::Grants { vm, grants } => self.vms[vm].limiter.add_grants(at, &grants),
+            Message::Grants { vm, wants, grants } => {
+                self.vms[vm].limiter.add_grants(at, &wants, &grants);
+            }
             Message::Lend { vm, loan } => {
                 let name = self.vms[vm].name.clone();
                 if let Some((share, timestamp)) = loan {
@@ -357,10 +359,10 @@
                 let member = VmId::new(format!("leader-{zone}"));
                 let grants = self.pool.grant(at, &self.table, &member, &wants);
                 let delay = self.delay(zone);
-                self.messages.push_back((now + delay, Message::ZoneGrants { zone, grants }));
+                self.messages.push_back((now + delay, Message::ZoneGrants { zone, wants, grants }));
             }
-            Message::ZoneGrants { zone, grants } => {
-                self.zones[zone].limiter.add_grants(at, &grants);
+            Message::ZoneGrants { zone, wants, grants } => {
+                self.zones[zone].limiter.add_grants(at, &wants, &grants);
             }
         }
     }
--- a/tests/steer_rates.rs
+++ b/tests/steer_rates.rs
@@ -57,6 +57,8 @@
     name: VmId,
     limiter: RateLimiter,
     pool: TokenPool,
+    /// Its last requests for tokens.
+    requests: Vec<TokenRequest>,
     incarnation: u64,
     partitioned_until: u64,
     paused_until: u64,
@@ -73,8 +75,16 @@
 }
 
 enum Body {
-    Request { loan: Option<(f64, (u64, Duration))>, requests: Vec<TokenRequest> },
-    Response { timestamp: (u64, Duration), grants: Vec<TokenGrant>, lent: bool },
+    Request {
+        loan: Option<(f64, (u64, Duration))>,
+        requests: Vec<TokenRequest>,
+    },
+    Response {
+        timestamp: (u64, Duration),
+        requests: Vec<TokenRequest>,
+        grants: Vec<TokenGrant>,
+        lent: bool,
+    },
 }
 
 /// Simulates entry VMs; the first VM that is not partitioned runs the pool. Returns the time at
@@ -110,7 +120,10 @@
             if (step + i as u64).is_multiple_of(8) {
                 let name = VmId::new(format!("vm-{pool}"));
                 let loan = vm.limiter.lendable(now, &name);
+                // An earlier request without a response has timed out.
+                vm.limiter.cancel_requests(&vm.requests);
                 let requests = vm.limiter.token_requests(now, &table);
+                vm.requests.clone_from(&requests);
                 let delay = if vm.delayed_until > step { vm.delayed_until - step } else { 2 };
                 let body = Body::Request { loan, requests };
                 messages.push_back(Message { arrives: step + delay, from: i, to: pool, body });
@@ -138,6 +151,7 @@
         limiter,
         // As in a front, half of the slack may be held as tokens beyond the burst.
         pool: TokenPool::new(SLACK / 2.0),
+        requests: Vec::new(),
         incarnation,
         partitioned_until: 0,
         paused_until: 0,
@@ -189,15 +203,16 @@
                 vm.pool.accept_loan(now, table, &sender, share, timestamp);
             }
             let grants = vm.pool.grant(now, table, &sender, &requests);
-            let body = Body::Response { timestamp: (vm.incarnation, now), grants, lent };
+            let timestamp = (vm.incarnation, now);
+            let body = Body::Response { timestamp, requests, grants, lent };
             messages.push_back(Message { arrives: step + 2, from: to, to: from, body });
         }
-        Body::Response { timestamp, grants, lent } => {
+        Body::Response { timestamp, requests, grants, lent } => {
             if !lent {
                 vm.limiter.clear_prior_loan(now);
             }
             vm.limiter.start_loan(now, &sender, timestamp);
-            vm.limiter.add_grants(now, &grants);
+            vm.limiter.add_grants(now, &requests, &grants);
         }
     }
 }
@@ -330,11 +345,14 @@
     let mut limiter = RateLimiter::new(ms(0), ms(300), 0.0);
     let customer = customer();
     assert_eq!(limiter.take(ms(0), &customer, true), TakeResult::Empty, "the pool may have tokens");
-    assert!(!limiter.token_requests(ms(10), &table()).is_empty());
-    limiter.add_grants(ms(20), &[]);
+    let requests = limiter.token_requests(ms(10), &table());
+    assert!(!requests.is_empty());
+    assert!(limiter.token_requests(ms(15), &table()).is_empty(), "the last has no response yet");
+    limiter.add_grants(ms(20), &requests, &[]);
     assert_eq!(limiter.take(ms(30), &customer, true), TakeResult::Exhausted);
-    limiter.token_requests(ms(40), &table());
-    limiter.add_grants(ms(50), &[TokenGrant { customer: "zoo".into(), tokens: 2.0 }]);
+    let requests = limiter.token_requests(ms(40), &table());
+    let grants = [TokenGrant { customer: "zoo".into(), tokens: 2.0 }];
+    limiter.add_grants(ms(50), &requests, &grants);
     assert_eq!(limiter.take(ms(60), &customer, true), TakeResult::Taken);
     assert_eq!(limiter.take(ms(600), &customer, true), TakeResult::Taken);
     assert_eq!(
