--- a/src/front/ingress.rs
+++ b/src/front/ingress.rs
@@ -139,17 +139,17 @@
     };
     log.customer = customer.as_ref().map(|c| c.id.to_string()).unwrap_or_default();
     check_size(&head.headers, &index)?;
+    let caller_deadline = arrived + caller_timeout(front, &head.headers);
+    let deadline = caller_deadline.min(arrived + Duration::from_millis(route.timeout_ms));
     if let Some(customer) = &customer {
         check_table_age(front, arrived)?;
-        if let Err(cause) = rates::take_token(front, customer).await {
+        if let Err(cause) = rates::take_token(front, customer, deadline).await {
             let detail = format!("customer {} has exhausted its rate: {cause}", customer.id);
             let error = RequestError::new(StatusCode::TOO_MANY_REQUESTS, "over-rate", detail);
             return Err(RequestError { retry_after: Some(RATE_RETRY_AFTER), ..error });
         }
     }
     let allowed_regions = index.allowed_regions(&route, access);
-    let caller_deadline = arrived + caller_timeout(front, &head.headers);
-    let deadline = caller_deadline.min(arrived + Duration::from_millis(route.timeout_ms));
     let body = read_body(body, deadline).await?;
     let request_fingerprint = match &body {
         RequestBody::Buffered(body) => {
--- a/src/front/rates.rs
+++ b/src/front/rates.rs
@@ -38,6 +38,9 @@
 const GRANT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time for which a request waits for a token.
 const TOKEN_TIMEOUT: Duration = Duration::from_millis(350);
+/// Longest wait for a token as a fraction of the time until the request's deadline; the rest is left
+/// for the target.
+const TOKEN_WAIT_RATIO: f64 = 0.3;
 /// Time after the start in which the first tokens may not have arrived.
 const STARTUP_PERIOD: Duration = Duration::from_millis(1_500);
 /// Time for which a request waits for a token during [`STARTUP_PERIOD`].
@@ -255,14 +258,20 @@
     (grants, short)
 }
 
-/// Takes a token of `customer`, waiting briefly if there is none.
+/// Takes a token of `customer` for a request, waiting briefly if there is none. `deadline` is the
+/// request's.
 ///
 /// # Errors
 /// Fails with the cause if no token arrives in time or the rate is exhausted.
-pub(crate) async fn take_token(front: &Front, customer: &Customer) -> Result<(), &'static str> {
+pub(crate) async fn take_token(
+    front: &Front,
+    customer: &Customer,
+    deadline: Duration,
+) -> Result<(), &'static str> {
     let start = clock::now();
     let starting = start.saturating_sub(front.started) < STARTUP_PERIOD;
-    let until = start + if starting { STARTUP_TOKEN_TIMEOUT } else { TOKEN_TIMEOUT };
+    let longest = if starting { STARTUP_TOKEN_TIMEOUT } else { TOKEN_TIMEOUT };
+    let until = start + longest.min(deadline.saturating_sub(start).mul_f64(TOKEN_WAIT_RATIO));
     let mut first = true;
     loop {
         let supply = front.token_supply.notified();
