--- a/src/front/request.rs
+++ b/src/front/request.rs
@@ -65,7 +65,7 @@
     pub(crate) affinity: NameHash,
     /// When the request times out if no target has responded; a streamed response may end later.
     pub(crate) deadline: Duration,
-    /// When the caller stops waiting; a streamed response that has not ended then is aborted.
+    /// When the caller stops waiting.
     pub(crate) caller_deadline: Duration,
     /// Fingerprint of customer, method, path and body; none if the body is streamed.
     pub(crate) fingerprint: Option<String>,
--- a/src/front/response.rs
+++ b/src/front/response.rs
@@ -3,6 +3,7 @@
 use std::io::ErrorKind;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use bytes::Bytes;
 use gotham::helpers::http::Body;
@@ -23,6 +24,10 @@
 /// Longest response body that is buffered before it is forwarded, in bytes; longer ones are streamed.
 const BUFFERED_RESPONSE_MAX: usize = 128 << 10;
 
+/// Time after the caller's deadline for which a streamed body may go on: a late answer is still
+/// delivered, but a body without end must end.
+const LATE_BODY_PERIOD: Duration = Duration::from_secs(5);
+
 /// Headers between a client and its forward proxy, which a front is not.
 const PROXY_HEADERS: [HeaderName; 2] = [PROXY_AUTHENTICATE, PROXY_AUTHORIZATION];
 
@@ -81,7 +86,7 @@
     } else {
         let chunks = chunks.into_iter();
         let left = admitted.caller_deadline.saturating_sub(clock::now());
-        let deadline = Box::pin(tokio::time::sleep(left));
+        let deadline = Box::pin(tokio::time::sleep(left.saturating_add(LATE_BODY_PERIOD)));
         StreamedBody { chunks, rest: body, lease: Some(lease), deadline }.boxed_unsync()
     };
     let response = Response::from_parts(head, body);
@@ -105,8 +110,8 @@
 }
 
 /// A response body too long to buffer: the chunks read so far, then the rest. If the target aborts
-/// the response, or its end has not come when the caller stops waiting, the response to the caller
-/// is aborted, too.
+/// the response, or its end has not come [`LATE_BODY_PERIOD`] after the caller's deadline, the response
+/// to the caller is aborted, too.
 struct StreamedBody {
     chunks: std::vec::IntoIter<Bytes>,
     rest: MeteredBody,
--- a/src/front/sessions.rs
+++ b/src/front/sessions.rs
@@ -39,8 +39,9 @@
         Self { dialer, sessions: Mutex::default() }
     }
 
-    /// Sends a request, which may arrive twice, to the VM at `addr`; an empty `vm` accepts whichever VM
-    /// listens there. Resets a session without a response, since a middlebox may have dropped its connection.
+    /// Sends a request, which may arrive twice, to the VM at `addr`; an empty `vm` accepts whichever
+    /// VM listens there. Resets a session without a response, since a middlebox may have dropped its
+    /// connection.
     pub(crate) async fn call(
         &self,
         vm: &VmId,
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -20,8 +20,8 @@
 
 /// Longest time for connecting and the handshake.
 const DIAL_TIMEOUT: Duration = Duration::from_millis(600);
-/// Time between two tries to open a session; after one that was up for longer, the next try follows at
-/// once.
+/// Time between two tries to open a session. After a session that was up for longer, the next try
+/// follows after [`DIAL_PAUSE`].
 const DIAL_INTERVAL: Duration = Duration::from_millis(200);
 /// Shortest time between the end of a session and the next try.
 const DIAL_PAUSE: Duration = Duration::from_millis(5);
