--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -15,6 +15,7 @@
 use super::ingress::Admitted;
 use super::records::RecordBuilder;
 use super::refusal::{Reason, Refusal};
+use super::target_call::failed_answer;
 use super::{Node, egress, peers, sanitize};
 
 /// Most attempts of one request, over all VMs.
@@ -179,11 +180,7 @@
     time_limit: Duration,
 ) -> Answer {
     let Some(peer) = node.mesh.peer(&candidate.vm) else {
-        return egress::failed_answer(
-            Outcome::NotReached,
-            "",
-            format!("{} has left", candidate.vm),
-        );
+        return failed_answer(Outcome::NotReached, "", format!("{} has left", candidate.vm));
     };
     if candidate.place.region != node.me.place.region {
         let bytes = forward.body.len() as u64;
@@ -196,11 +193,11 @@
         Ok(Body::Answer(answer)) => answer,
         Ok(_) => {
             let cause = format!("{} responded with a message that is not an answer", candidate.vm);
-            egress::failed_answer(Outcome::Unknown, "", cause)
+            failed_answer(Outcome::Unknown, "", cause)
         }
         Err(e) => {
             let outcome = if e.maybe_sent { Outcome::Unknown } else { Outcome::NotReached };
-            egress::failed_answer(outcome, "", e.to_string())
+            failed_answer(outcome, "", e.to_string())
         }
     }
 }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -22,6 +22,7 @@
 mod run;
 mod sanitize;
 mod status;
+mod target_call;
 mod trace;
 mod watcher;
 
