--- a/src/front/rates.rs
+++ b/src/front/rates.rs
@@ -1,6 +1,6 @@
-//! Tokens for customers' rate limits. Every entry VM lends its share of the rates to the token pool
-//! on one VM. Each zone leader draws tokens from the pool, and the other VMs of the zone draw from
-//! their leader.
+//! Tokens for customers' rate limits. Every entry VM that owns a share of the rates lends it to the
+//! token pool on one VM. The token leader of each zone draws from the pool, and the other VMs of the
+//! zone draw from their leader.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -26,15 +26,15 @@
 /// Timeout of a draw from the pool.
 const POOL_DRAW_TIMEOUT: Duration = Duration::from_millis(500);
 /// Wait for a request that needs a token, after [`LEADER_DRAW_INTERVAL_MIN`]; then the next draw from
-/// the zone leader starts anyway.
+/// the token leader starts anyway.
 const LEADER_DRAW_INTERVAL: Duration = Duration::from_millis(120);
-/// Shortest interval of the draws from the zone leader, while requests wait for tokens.
+/// Shortest interval of the draws from the token leader, while requests wait for tokens.
 const LEADER_DRAW_INTERVAL_MIN: Duration = Duration::from_millis(5);
-/// Timeout of a draw from the zone leader.
+/// Timeout of a draw from the token leader.
 const LEADER_DRAW_TIMEOUT: Duration = Duration::from_millis(450);
-/// Most draws from the zone leader in progress.
+/// Most draws from the token leader in progress.
 const LEADER_DRAWS_MAX: usize = 16;
-/// Time for which a zone leader waits for tokens before it responds without any.
+/// Time for which a token leader waits for tokens before it responds without any.
 const GRANT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time for which a request waits for a token.
 const TOKEN_TIMEOUT: Duration = Duration::from_millis(350);
@@ -52,7 +52,7 @@
     tokio::spawn(run_leader_draws(front.clone()));
 }
 
-/// Lends this VM's share to the pool, and draws the zone's tokens if this VM is the zone leader.
+/// Lends this VM's share to the pool, and draws the zone's tokens if this VM is the token leader.
 async fn run_pool_draws(front: Arc<Front>) {
     let start = clock::now();
     loop {
@@ -139,7 +139,7 @@
     }
 }
 
-/// Draws this VM's tokens from the zone leader. Several draws may be in progress, each for other
+/// Draws this VM's tokens from the token leader. Several draws may be in progress, each for other
 /// customers, since the leader answers late for a customer that has exhausted its rate.
 async fn run_leader_draws(front: Arc<Front>) {
     let mut draws = JoinSet::new();
@@ -156,7 +156,7 @@
     }
 }
 
-/// A draw from the zone leader.
+/// A draw from the token leader.
 struct LeaderDraw {
     leader: VmId,
     addr: SocketAddr,
@@ -186,7 +186,7 @@
         match grants {
             Ok(grants) => state.limiter.add_grants(clock::now(), &wants, &grants),
             Err(e) => {
-                log::info!("rates: drawing from zone leader {leader} failed: {e}.");
+                log::info!("rates: drawing from token leader {leader} failed: {e}.");
                 state.fleet.mark_unresponsive(clock::now(), &leader);
                 state.limiter.cancel_requests(&wants);
             }
--- a/src/front/state.rs
+++ b/src/front/state.rs
@@ -27,7 +27,7 @@
 /// Time after its start for which a new VM doesn't use its share of the rates, so that the others
 /// can learn of it first.
 const JOIN_DELAY: Duration = Duration::from_secs(5);
-/// Time for which a VM's tokens should last; short, since the zone leader is in the same zone
+/// Time for which a VM's tokens should last; short, since the token leader is in the same zone
 /// and a token that waits at one VM is missing at the others.
 const VM_TOKEN_HORIZON: Duration = Duration::from_millis(100);
 /// Time for which a zone's tokens should last; longer, since the pool may be in another region.
@@ -48,7 +48,7 @@
     pub(crate) token_pool: TokenPool,
     /// This VM's tokens, and its share of every rate.
     pub(crate) limiter: RateLimiter,
-    /// Tokens for all VMs of the zone, while this VM is the zone leader.
+    /// Tokens for all VMs of the zone, while this VM is the token leader.
     pub(crate) zone_limiter: RateLimiter,
     pub(crate) retries: RetryBudgets,
     pub(crate) crashes: CrashTracker,
--- a/src/steer/limiter.rs
+++ b/src/steer/limiter.rs
@@ -1,7 +1,7 @@
 //! One entry VM's rate limiter: its tokens of each customer.
 //!
 //! Tokens come from the VM's own share of every customer's rate. While that share is lent to the
-//! pool ([`super::TokenPool`]), they come from the zone leader, which requests tokens for its zone
+//! pool ([`super::TokenPool`]), they come from the token leader, which requests tokens for its zone
 //! from the pool with a second limiter. A share is never used here and in the pool at once, so that
 //! all VMs together stay within the rate.
 
@@ -145,7 +145,7 @@
         taken
     }
 
-    /// The requests to send to the pool or the zone leader. A customer whose last request has no
+    /// The requests to send to the pool or the token leader. A customer whose last request has no
     /// response yet is left out, so that requests for others need not wait for it.
     pub fn token_requests(&mut self, now: Duration, table: &Table) -> Vec<TokenRequest> {
         let usable = self.usable_share(now);
