--- a/review/common.rs
+++ b/review/common.rs
@@ -52,9 +52,18 @@
     }
 }
 
-/// An unused port at `ip`.
+/// An unused port at `ip`, below the range from which the system takes the ports of clients, so that no
+/// connection takes it before it is used.
 pub fn free_port(ip: Ipv4Addr) -> u16 {
-    TcpListener::bind((ip, 0)).expect("a port").local_addr().unwrap().port()
+    static CALLS: AtomicU64 = AtomicU64::new(0);
+    let seed = u64::from(std::process::id()) * 7919 + unix_ms();
+    loop {
+        let call = CALLS.fetch_add(1, Ordering::SeqCst);
+        let port = 12_000 + ((seed + call * 131) % 18_000) as u16;
+        if TcpListener::bind((ip, port)).is_ok() {
+            return port;
+        }
+    }
 }
 
 // ---------------------------------------------------------------------------------------------
@@ -242,7 +251,8 @@
 
 impl Store {
     pub fn start(record: &Record) -> Self {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("the store's port");
+        let port = free_port(Ipv4Addr::LOCALHOST);
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, port)).expect("the store's port");
         let addr = listener.local_addr().unwrap();
         let store = Self { addr, shared: Default::default(), record: record.clone() };
         let served = store.clone();
@@ -634,6 +644,8 @@
     pub path: &'a str,
     pub host: &'a str,
     pub key: Option<&'a str>,
+    /// The value of the cookie `Shallotstall-Affinity-Key`.
+    pub object: Option<&'a str>,
     pub deadline_ms: u64,
     pub work_ms: u64,
     pub body: &'a [u8],
@@ -649,6 +661,9 @@
         if let Some(key) = self.key {
             out.push_str(&format!("Authorization: Token {key}\r\n"));
         }
+        if let Some(object) = self.object {
+            out.push_str(&format!("Cookie: Shallotstall-Affinity-Key={object}\r\n"));
+        }
         if self.method != "GET" {
             out.push_str(&format!("Content-Length: {}\r\n", self.body.len()));
         }
@@ -752,14 +767,19 @@
 }
 
 impl Machine {
-    /// Starts the process with the command of the deploy file.
+    /// Starts the process with the command of the deploy file; it logs to a file.
     pub fn start(&mut self) {
         let log = File::options().create(true).append(true).open(&self.log).expect("the log");
+        self.start_logging_to(log.try_clone().expect("the log"), log);
+    }
+
+    /// Starts the process with these as its standard output and error.
+    pub fn start_logging_to(&mut self, out: impl Into<Stdio>, err: impl Into<Stdio>) {
         let child = Command::new("target/release/shallotstall-platform")
             .env("SHALLOTSTALL_SETTINGS", &self.settings)
             .stdin(Stdio::null())
-            .stdout(log.try_clone().expect("the log"))
-            .stderr(log)
+            .stdout(out)
+            .stderr(err)
             .spawn();
         self.child = Some(child.unwrap_or_else(|e| cannot_run(&format!("start the program: {e}"))));
     }
@@ -804,10 +824,11 @@
 }
 
 /// Waits until all machines are ready; the case can't run otherwise.
-pub fn await_ready(machines: &[Machine]) {
+pub fn await_ready(machines: &mut [Machine]) {
     let until = Instant::now() + ms(15_000);
     while !machines.iter().all(Machine::is_ready) {
         if Instant::now() > until {
+            machines.iter_mut().for_each(Machine::kill);
             cannot_run("a machine isn't ready after 15 s");
         }
         thread::sleep(ms(50));
@@ -820,6 +841,7 @@
 }
 
 /// One route in the configuration.
+#[derive(Clone, Copy)]
 pub struct RouteSpec<'a> {
     pub name: &'a str,
     pub prefix: &'a str,
