--- a/review/common.rs
+++ b/review/common.rs
@@ -345,9 +345,7 @@
             objects.objects.get(&(kind.to_owned(), name.to_owned())).cloned()
         };
         match (create, existing) {
-            (true, Some((revision, spec))) => {
-                ("409 Conflict", object_json(name, revision, &spec))
-            }
+            (true, Some((revision, spec))) => ("409 Conflict", object_json(name, revision, &spec)),
             (false, None) => ("404 Not Found", "{}".into()),
             (false, Some((revision, old))) if old == spec => {
                 ("200 OK", object_json(name, revision, spec))
@@ -446,6 +444,9 @@
     /// A request whose path holds this text crashes the worker that begins to run it.
     pub poison: Option<&'static str>,
     pub crash_for: Duration,
+    /// A faulty worker: after one in so many answers it sends these bytes, too, late: when the next
+    /// request has come on the connection.
+    pub extra: Option<(u64, &'static str)>,
     state: Arc<WorkerState>,
     record: Record,
 }
@@ -461,6 +462,9 @@
     crashes: Mutex<Vec<Instant>>,
     /// Requests whose run was cut by the end of the worker's process.
     cut: Mutex<Vec<String>>,
+    /// Requests that it began to run.
+    ran: Mutex<Vec<String>>,
+    answers: AtomicU64,
 }
 
 pub fn unix_ms() -> u64 {
@@ -479,10 +483,12 @@
             arrivals: Mutex::default(),
             crashes: Mutex::default(),
             cut: Mutex::default(),
+            ran: Mutex::default(),
+            answers: AtomicU64::new(0),
         });
         let (id, service, zone) = (id.to_owned(), service.to_owned(), zone.to_owned());
-        let (poison, crash_for, record) = (None, ms(3000), record.clone());
-        Self { id, service, zone, addr, slots: 6, poison, crash_for, state, record }
+        let (poison, extra, crash_for, record) = (None, None, ms(3000), record.clone());
+        Self { id, service, zone, addr, slots: 6, poison, extra, crash_for, state, record }
     }
 
     /// Opens the port and serves until [`Self::end`].
@@ -542,10 +548,16 @@
         self.state.cut.lock().unwrap().clone()
     }
 
+    /// Attempts that it began to run.
+    pub fn ran(&self) -> Vec<String> {
+        self.state.ran.lock().unwrap().clone()
+    }
+
     fn serve(&self, stream: TcpStream, life: u64) {
         let _ = stream.set_nodelay(true);
         let mut reader = BufReader::new(stream.try_clone().expect("a stream"));
         let mut writer = stream;
+        let mut late = None;
         while let Ok(Some(head)) = read_head(&mut reader) {
             if self.state.life.load(Ordering::SeqCst) != life {
                 return;
@@ -565,8 +577,7 @@
             let attempt = head.get("shallotstall-attempt-id").unwrap_or("").to_owned();
             let path = head.target().to_owned();
             let at = Instant::now();
-            let arrival =
-                Arrival { worker: self.id.clone(), attempt: attempt.clone(), path, at };
+            let arrival = Arrival { worker: self.id.clone(), attempt: attempt.clone(), path, at };
             self.state.arrivals.lock().unwrap().push(arrival);
             if self.poison.is_some_and(|p| head.target().contains(p)) {
                 self.record.line(format!("worker {}: crashes on {attempt}", self.id));
@@ -580,6 +591,10 @@
                 return;
             }
             let Ok(body) = read_body(&mut reader, &head) else { return };
+            if let Some(bytes) = late.take() {
+                self.record.line(format!("worker {}: late extra bytes before {attempt}", self.id));
+                let _ = writer.write_all(str::as_bytes(bytes));
+            }
             let expected = head.get("shallotstall-expect-instance");
             if expected.is_some_and(|id| id != self.id) {
                 let fields = [("Shallotstall-Instance-Id", self.id.as_str())];
@@ -589,6 +604,7 @@
                 continue;
             }
             let running = self.state.running.fetch_add(1, Ordering::SeqCst) + 1;
+            self.state.ran.lock().unwrap().push(attempt.clone());
             let work = head.get("x-work-ms").and_then(|w| w.parse().ok()).unwrap_or(50);
             self.record.line(format!(
                 "worker {}: runs {attempt} ({} {}, {} bytes)",
@@ -612,9 +628,12 @@
                 ("Shallotstall-Server-Load", load.as_str()),
             ];
             if writer.write_all(&response("200 OK", &fields, text.as_bytes())).is_err() {
-                self.record.line(format!("worker {}: nobody takes the answer to {attempt}", self.id));
+                self.record
+                    .line(format!("worker {}: nobody takes the answer to {attempt}", self.id));
                 return;
             }
+            let answers = self.state.answers.fetch_add(1, Ordering::SeqCst) + 1;
+            late = self.extra.filter(|(every, _)| answers % every == 0).map(|(_, bytes)| bytes);
         }
     }
 }
