--- a/review/common.rs
+++ b/review/common.rs
@@ -805,8 +805,9 @@
 
     pub fn signal(&self, name: &str) {
         if let Some(child) = &self.child {
-            let pid = child.id().to_string();
-            let _ = Command::new("kill").args([&format!("-{name}"), &pid]).status();
+            // The shell has the command `kill` on every machine.
+            let command = format!("kill -s {name} {}", child.id());
+            let _ = Command::new("sh").args(["-c", &command]).status();
         }
     }
 
