--- a/review/common.rs
+++ b/review/common.rs
@@ -447,6 +447,10 @@
     /// A faulty worker: after one in so many answers it sends these bytes, too, late: when the next
     /// request has come on the connection.
     pub extra: Option<(u64, &'static str)>,
+    /// While false, a faulty worker sends no extra bytes.
+    pub faulty: Arc<AtomicBool>,
+    /// Where the worker writes its entry when it is back after a crash.
+    pub store: Option<Store>,
     state: Arc<WorkerState>,
     record: Record,
 }
@@ -488,7 +492,22 @@
         });
         let (id, service, zone) = (id.to_owned(), service.to_owned(), zone.to_owned());
         let (poison, extra, crash_for, record) = (None, None, ms(3000), record.clone());
-        Self { id, service, zone, addr, slots: 6, poison, extra, crash_for, state, record }
+        let (faulty, store) = (Arc::default(), None);
+        let slots = 6;
+        Self {
+            id,
+            service,
+            zone,
+            addr,
+            slots,
+            poison,
+            extra,
+            faulty,
+            store,
+            crash_for,
+            state,
+            record,
+        }
     }
 
     /// Opens the port and serves until [`Self::end`].
@@ -587,11 +606,14 @@
                 thread::spawn(move || {
                     thread::sleep(worker.crash_for);
                     worker.listen();
+                    if let Some(store) = &worker.store {
+                        store.put("servers", &worker.id, &worker.spec("ready"));
+                    }
                 });
                 return;
             }
             let Ok(body) = read_body(&mut reader, &head) else { return };
-            if let Some(bytes) = late.take() {
+            if let Some(bytes) = late.take().filter(|_| self.faulty.load(Ordering::SeqCst)) {
                 self.record.line(format!("worker {}: late extra bytes before {attempt}", self.id));
                 let _ = writer.write_all(str::as_bytes(bytes));
             }
