Log which requests a stop cuts, callers that leave, and how late timers fire

In the record of the incident four hypotheses look the same, since a request that was cut left no line. A request is now in flight until the body of its response has been passed to its connection (before: until the head), and is listed by id, route, step and target: a line 'cut' for each one at the end of the grace period, 'aborted' for a caller that left. 'stop', 'closing' (new) and 'stopped' tell the requests in flight and how late timers fire, to see a process that does not keep up. Metrics: requests_aborted, requests_in_flight, timer_lag_ms.

--- a/src/front/attempt.rs
+++ b/src/front/attempt.rs
@@ -16,6 +16,7 @@
 use super::Front;
 use super::crash_check::check_for_crash;
 use super::exchange::{send, take_body};
+use super::in_flight::RequestStep;
 use super::request::{Admitted, RequestBody, RequestError, RequestLog};
 use super::response::AttemptOutcome;
 
@@ -104,6 +105,10 @@
 ) -> Result<AttemptOutcome, RequestError> {
     // Written before sending, since a timeout or the caller's disconnect ends this function early.
     let _ = write!(log.targets, "{} in {}: ", pick.id, pick.region);
+    log.in_flight.update(|r| {
+        r.step = RequestStep::Target;
+        r.target = pick.id.to_string();
+    });
     let mut guard = AttemptGuard::new(front, pick);
     let left = admitted.deadline.saturating_sub(clock::now());
     let Ok(outcome) = timeout(left, send(front, admitted, pick, body)).await else {
--- a/src/front/ingress.rs
+++ b/src/front/ingress.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -23,7 +22,7 @@
 use super::metrics::RequestLabels;
 use super::outbound::read_up_to;
 use super::request::{Admitted, RequestBody, RequestError, RequestLog, path_and_query};
-use super::{Front, attempt, rates};
+use super::{Front, attempt, in_flight, rates};
 
 /// Longest request body that is buffered before it is forwarded, in bytes. A longer one is streamed,
 /// so it can't be sent again.
@@ -65,40 +64,55 @@
     async fn respond_stream(&self, request: Request<Body>, _: SocketAddr) -> Response<Body> {
         let front = &self.0;
         let arrived = clock::now();
-        let _guard = RequestGuard::new(front);
-        let mut log = RequestLog::default();
-        let outcome = handle(front, request, arrived, &mut log).await;
+        let mut pending = PendingRequest::new(front, arrived);
+        let outcome = handle(front, request, arrived, &mut pending.log).await;
         let took = clock::now().saturating_sub(arrived);
         let mut response = match outcome {
             Ok(response) => {
-                front.log_end(&log, response.status(), "answered", "", took);
+                front.log_end(&pending.log, response.status(), "answered", "", took);
                 response
             }
             Err(error) => {
-                front.log_end(&log, error.status, error.reason, &error.detail, took);
+                front.log_end(&pending.log, error.status, error.reason, &error.detail, took);
                 error_response(&error)
             }
         };
         if front.is_leaving() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
-        response
+        pending.answer(response)
     }
 }
 
-/// Counts a request as in flight until it has a response.
-struct RequestGuard<'a>(&'a Front);
+/// A request without a response yet; dropped as such, it logs that its caller has left.
+struct PendingRequest<'a> {
+    front: &'a Front,
+    log: RequestLog,
+    answered: bool,
+}
+
+impl<'a> PendingRequest<'a> {
+    fn new(front: &'a Front, now: Duration) -> Self {
+        let log = RequestLog { in_flight: front.in_flight.add(now), ..RequestLog::default() };
+        Self { front, log, answered: false }
+    }
 
-impl<'a> RequestGuard<'a> {
-    fn new(front: &'a Front) -> Self {
-        front.in_flight.fetch_add(1, Ordering::Relaxed);
-        Self(front)
+    /// Passes the response on; the request is in flight until it has been written.
+    fn answer(mut self, response: Response<Body>) -> Response<Body> {
+        self.answered = true;
+        in_flight::track(response, std::mem::take(&mut self.log.in_flight))
     }
 }
 
-impl Drop for RequestGuard<'_> {
+impl Drop for PendingRequest<'_> {
     fn drop(&mut self) {
-        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+        if self.answered {
+            return;
+        }
+        if let Some(record) = self.log.in_flight.record(clock::now()) {
+            self.front.metrics.record_aborted(record.step);
+            self.front.decision_log.log_limited("aborted", &record);
+        }
     }
 }
 
@@ -111,6 +125,7 @@
 ) -> Result<Response<Body>, RequestError> {
     let (head, body) = request.into_parts();
     log.id = header_text(&head.headers, &front.headers.attempt).unwrap_or_default().to_owned();
+    log.in_flight.update(|r| r.id.clone_from(&log.id));
     let index = wait_for_index(front).await;
     let index = index
         .ok_or_else(|| RequestError::not_run("no-table", "no routing table has been received"))?;
@@ -123,6 +138,7 @@
         RequestError::new(StatusCode::NOT_FOUND, "no-route", "no route matches host and path")
     })?;
     log.route.clone_from(&route.name);
+    log.in_flight.update(|r| r.route.clone_from(&route.name));
     let access = index.access(&route, api_key(front, &head.headers));
     let customer = match access {
         Access::Open => None,
--- a/src/front/metrics.rs
+++ b/src/front/metrics.rs
@@ -21,6 +21,7 @@
 use crate::steer::TargetNotice;
 
 use super::Front;
+use super::in_flight::RequestStep;
 use super::request::RequestLog;
 
 /// Upper bounds of the latency histogram's buckets, in seconds.
@@ -58,6 +59,12 @@
     kind: &'static str,
 }
 
+/// Labels of the counter of requests whose callers left.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct AbortLabels {
+    step: &'static str,
+}
+
 /// Counters by name, for a limited number of names.
 #[derive(Default)]
 struct NamedCounters {
@@ -84,6 +91,7 @@
     attempts: Family<AttemptLabels, Counter>,
     latency: Histogram,
     notices: Family<NoticeLabels, Counter>,
+    aborted: Family<AbortLabels, Counter>,
     pub(crate) retries: Counter,
     pub(crate) probes: Counter,
     pub(crate) version: Gauge,
@@ -91,6 +99,8 @@
     targets: Gauge,
     usable: Gauge,
     members: Gauge,
+    in_flight: Gauge,
+    lag: Gauge,
 }
 
 impl FrontMetrics {
@@ -103,6 +113,9 @@
             attempts: Family::default(),
             latency: Histogram::new(LATENCY_BUCKETS),
             notices: Family::default(),
+            aborted: Family::default(),
+            in_flight: Gauge::default(),
+            lag: Gauge::default(),
             retries: Counter::default(),
             probes: Counter::default(),
             version: Gauge::default(),
@@ -126,6 +139,12 @@
         );
         let help = "What targets said of themselves: that they leave, or want a pause";
         registry.register("target_notices", help, metrics.notices.clone());
+        let help = "Requests whose callers left before a response, by how far they had come";
+        registry.register("requests_aborted", help, metrics.aborted.clone());
+        let help = "Requests read and not yet answered in full";
+        registry.register("requests_in_flight", help, metrics.in_flight.clone());
+        let help = "How late timers fire, at most in the last seconds, in milliseconds";
+        registry.register("timer_lag_ms", help, metrics.lag.clone());
         registry.register("retries", "Requests sent once more", metrics.retries.clone());
         registry.register("probes", "Health checks of targets", metrics.probes.clone());
         registry.register("table_version", "Configuration in force", metrics.version.clone());
@@ -162,8 +181,15 @@
         }
     }
 
+    /// Records a request whose caller left before a response.
+    pub(crate) fn record_aborted(&self, step: RequestStep) {
+        self.aborted.get_or_create(&AbortLabels { step: step.as_str() }).inc();
+    }
+
     fn text(&self, front: &Front) -> String {
         let now = clock::now();
+        self.in_flight.set(front.in_flight.len() as i64);
+        self.lag.set(front.lag.max(now).as_millis() as i64);
         // -1 until the first routing table.
         let age = front.state.table_age(now).map_or(-1, |a| a.as_millis() as i64);
         self.age.set(age);
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -12,7 +12,9 @@
 mod decisions;
 mod exchange;
 mod handle;
+mod in_flight;
 mod ingress;
+mod lag;
 mod metered;
 mod metrics;
 mod news;
@@ -27,7 +29,7 @@
 mod source;
 mod state;
 
-use std::sync::atomic::{AtomicBool, AtomicU64};
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
@@ -45,6 +47,8 @@
 pub use source::{Headers, Source, SourceError};
 
 use decisions::DecisionLogger;
+use in_flight::InFlight;
+use lag::LagMeter;
 use metrics::FrontMetrics;
 use outbound::TargetClient;
 use sessions::Sessions;
@@ -68,8 +72,8 @@
     stop: OnceLock<StopSchedule>,
     /// Set while this VM's reads of the store fail.
     pub(crate) store_unreachable: AtomicBool,
-    /// Requests without a response yet.
-    in_flight: AtomicU64,
+    in_flight: InFlight,
+    lag: LagMeter,
     /// Notified when a request finds no token; wakes the task that draws from the zone leader.
     pub(crate) token_demand: Notify,
     /// Notified when this VM has received tokens; wakes requests that wait for one.
--- a/src/front/request.rs
+++ b/src/front/request.rs
@@ -10,6 +10,8 @@
 use crate::model::{RegionId, ServiceId};
 use crate::steer::{Customer, NameHash, Route, TableIndex};
 
+use super::in_flight::InFlightGuard;
+
 /// `Retry-After` of a 503 response.
 const RETRY_AFTER_DEFAULT: Duration = Duration::from_millis(400);
 
@@ -92,6 +94,7 @@
     pub(crate) affinity: String,
     /// The targets that it was sent to, each with the attempt's outcome.
     pub(crate) targets: String,
+    pub(crate) in_flight: InFlightGuard,
 }
 
 /// The path and query as the caller sent them.
--- a/src/front/run.rs
+++ b/src/front/run.rs
@@ -1,7 +1,7 @@
 //! Starts the front's servers and tasks, and stops them gracefully.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
@@ -19,7 +19,9 @@
 use super::config::FrontConfig;
 use super::decisions::DecisionLogger;
 use super::handle::FrontHandle;
+use super::in_flight::InFlight;
 use super::ingress::CallerHandler;
+use super::lag::{self, LagMeter};
 use super::metrics::{FrontMetrics, MetricsHandler};
 use super::outbound::TargetClient;
 use super::sessions::{PeerRequestHandler, Sessions};
@@ -50,6 +52,19 @@
     life: u64,
 }
 
+/// The log line of a step of a graceful stop.
+#[derive(Serialize)]
+struct StopRecord<'a> {
+    #[serde(flatten)]
+    process: ProcessRecord<'a>,
+    /// Time since the signal was handled.
+    after_ms: u64,
+    grace_ms: u64,
+    in_flight: usize,
+    /// How late timers fired, at most in the last seconds.
+    lag_ms: u64,
+}
+
 impl FrontDaemon {
     /// Starts a front that reads the platform's store through `source` and uses its `headers`.
     ///
@@ -79,7 +94,8 @@
             started: now,
             stop: OnceLock::new(),
             store_unreachable: AtomicBool::new(false),
-            in_flight: AtomicU64::new(0),
+            in_flight: InFlight::default(),
+            lag: LagMeter::default(),
             token_demand: Notify::new(),
             token_supply: Notify::new(),
             zone_demand: Notify::new(),
@@ -100,6 +116,7 @@
         news::start(&front);
         tokio::spawn(probes::run(front.clone()));
         rates::start(&front);
+        tokio::spawn(lag::run(front.clone()));
         let limits = ConnectionLimits {
             header_timeout: KEEP_ALIVE_TIMEOUT,
             max_header_bytes: HEAD_BYTES_MAX,
@@ -133,24 +150,25 @@
         let front = self.front;
         let start = clock::now();
         let stop = StopSchedule::new(start, front.config.bounds.grace.0);
-        front.decision_log.log("stop", &front.process_record());
+        front.decision_log.log("stop", &front.stop_record(start, start));
         // Only one stop happens, since it consumes the daemon.
         let _ = front.stop.set(stop);
         front.state.lock().fleet.mark_leaving(start, &front.me.vm);
         self.callers.close_connections();
         tokio::time::sleep(stop.close_at().saturating_sub(clock::now())).await;
+        front.decision_log.log("closing", &front.stop_record(start, clock::now()));
         let left = stop.exit_at().saturating_sub(clock::now());
         let drained = async {
             self.callers.shutdown().await;
-            while front.in_flight.load(Ordering::Relaxed) > 0 {
+            while front.in_flight.len() > 0 {
                 tokio::time::sleep(IN_FLIGHT_POLL_INTERVAL).await;
             }
         };
-        if tokio::time::timeout(left, drained).await.is_err() {
-            let active = front.in_flight.load(Ordering::Relaxed);
-            log::warn!("front: the grace period ended with {active} requests in flight.");
+        let outcome = tokio::time::timeout(left, drained).await;
+        front.decision_log.log("stopped", &front.stop_record(start, clock::now()));
+        if outcome.is_err() {
+            front.log_cut_requests();
         }
-        front.decision_log.log("stopped", &front.process_record());
         front.decision_log.flush();
     }
 }
@@ -163,6 +181,25 @@
             life: self.me.incarnation,
         }
     }
+
+    fn stop_record(&self, start: Duration, now: Duration) -> StopRecord<'_> {
+        StopRecord {
+            process: self.process_record(),
+            after_ms: now.saturating_sub(start).as_millis() as u64,
+            grace_ms: self.config.bounds.grace.0.as_millis() as u64,
+            in_flight: self.in_flight.len(),
+            lag_ms: self.lag.max(now).as_millis() as u64,
+        }
+    }
+
+    /// Logs the requests that the end of the process cuts.
+    fn log_cut_requests(&self) {
+        let cut = self.in_flight.take_all(clock::now());
+        log::warn!("front: the grace period ended with {} requests in flight.", cut.len());
+        for record in &cut {
+            self.decision_log.log("cut", record);
+        }
+    }
 }
 
 /// The session secret, derived from settings that all VMs of a deployment share. It only keeps
