A stopping VM does not queue requests past its exit

What callers saw: a request accepted early in a stop, queued at a target that the VM knew to be busy, was cut at the end of the grace period, though another VM could have taken it. Cause: the time left by which a target is chosen was the request's own deadline, not the VM's exit.

--- a/src/front/attempt.rs
+++ b/src/front/attempt.rs
@@ -56,6 +56,12 @@
     loop {
         let pick = match pick(front, &admitted, &history) {
             PickResult::Target(pick) => pick,
+            PickResult::Busy(late) if front.is_leaving() && late > Duration::ZERO => {
+                return Err(history.error(
+                    "stopping",
+                    "the best target would respond after the exit or the deadline",
+                ));
+            }
             PickResult::Busy(late) => {
                 let error = history.error(
                     "busy",
@@ -232,16 +238,17 @@
 }
 
 fn pick(front: &Front, admitted: &Admitted, history: &History) -> PickResult {
+    let now = clock::now();
     let choice = PickRequest {
         service: &admitted.service,
         affinity: admitted.affinity,
         region: &front.place.region,
         allowed_regions: admitted.allowed_regions.as_deref(),
         avoid: &history.avoid,
-        time_left: admitted.deadline.saturating_sub(clock::now()),
+        time_left: front.time_left(now, admitted.deadline),
         cold_rate: admitted.index.service(&admitted.service).map_or(0.0, |s| s.cold_rate),
     };
-    front.state.lock().balancer.pick(clock::now(), &choice)
+    front.state.lock().balancer.pick(now, &choice)
 }
 
 /// Counts a request in flight at its target. Dropped early, it records that the caller has left.
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -95,6 +95,13 @@
         self.stop.get().is_none_or(|stop| stop.accepts(now, deadline))
     }
 
+    /// Time left for a response to a request that times out at `deadline`; a stopping VM exits before
+    /// its grace period ends.
+    pub(crate) fn time_left(&self, now: Duration, deadline: Duration) -> Duration {
+        let exit = self.stop.get().map_or(Duration::MAX, StopSchedule::exit_at);
+        deadline.min(exit).saturating_sub(now)
+    }
+
     /// True if lookups may name this VM to callers and the readiness check passes.
     pub(crate) fn is_serving(&self) -> bool {
         !self.is_leaving() && self.state.index().is_some()
