--- a/src/escrow/account.rs
+++ b/src/escrow/account.rs
@@ -3,127 +3,22 @@
 //!
 //! Called by [`Escrow`](super::Escrow), which passes the time, requests and messages in.
 
+mod home;
+
 use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
-use crate::model::{Account, Incarnation, PoolPlace, VmId, ZoneId};
+use crate::model::{Account, Incarnation, PoolPlace, VmId};
 use crate::peer::ask::{Grant, GrantRequest, Loan, LoanRequest, Note};
 use crate::zone::rendezvous_order;
 
 use super::meter::Meter;
-use super::{GrantedTokens, Pool, Quota};
-
-/// Durations and ratios of the rate limiting protocol.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Settings {
-    /// Time for which a loan is valid.
-    pub loan_ttl: Duration,
-    /// Time for which granted tokens are valid; shorter than `loan_ttl`.
-    pub grant_ttl: Duration,
-    /// Time between renewals of a loan; at most a quarter of `loan_ttl`.
-    pub renew_interval: Duration,
-    /// Time after which an unanswered request for a grant is sent again.
-    pub request_timeout: Duration,
-    /// Fraction of the pool's remaining tokens that one member may be granted ahead of demand.
-    pub prefetch_ratio: f64,
-    /// Largest difference between the speeds of two clocks, as a fraction.
-    pub drift_ratio: f64,
-    /// The pool home moves to a zone whose demand is more than this many times that of its own zone.
-    pub move_ratio: f64,
-    /// Time for which the other zone's demand must stay above `move_ratio` before the home moves.
-    pub move_delay: Duration,
-}
-
-impl Default for Settings {
-    fn default() -> Self {
-        Self {
-            loan_ttl: Duration::from_secs(2),
-            grant_ttl: Duration::from_secs(1),
-            renew_interval: Duration::from_millis(500),
-            request_timeout: Duration::from_millis(300),
-            prefetch_ratio: 0.25,
-            drift_ratio: 0.01,
-            move_ratio: 1.5,
-            move_delay: Duration::from_secs(2),
-        }
-    }
-}
-
-/// The rate limit of an account, or one member's quota of it.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct RateLimit {
-    /// Tokens per second.
-    pub rate: f64,
-    /// Most tokens that can be taken at once.
-    pub burst: f64,
-}
+use super::{
+    Action, Admission, AdmissionRequest, GrantedTokens, PeerStatus, Pool, Quota, RateLimit,
+    Settings,
+};
 
-impl RateLimit {
-    /// A limit that admits nothing.
-    pub const ZERO: RateLimit = RateLimit { rate: 0.0, burst: 0.0 };
-}
-
-/// A member, and whether this member can reach it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct PeerStatus {
-    /// The entry VM.
-    pub vm: VmId,
-    /// The availability zone that it runs in.
-    pub zone: ZoneId,
-    /// True if it responds to heartbeats and is not leaving.
-    pub live: bool,
-}
-
-/// A request for one token.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct AdmissionRequest {
-    /// Identifies the request in actions.
-    pub id: u64,
-    /// Time at which the request is refused if it has no token by then.
-    pub deadline: Instant,
-}
-
-/// The immediate answer to a request for a token.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Admission {
-    /// A token was taken.
-    Admitted,
-    /// The request is queued; [`Action::Admit`] or [`Action::Refuse`] follows.
-    Waiting,
-}
-
-/// What the caller of the state machine must do.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Action {
-    /// Send a message to a member. Delivery is not required.
-    Send {
-        /// The receiving member.
-        to: VmId,
-        /// The account that the message is about.
-        account: Account,
-        /// The message.
-        note: Note,
-    },
-    /// Admit the queued request with this id.
-    Admit(u64),
-    /// Refuse a queued request, which can't get a token before its deadline.
-    Refuse {
-        /// The request's id.
-        id: u64,
-        /// Time after which the caller may try again.
-        retry_after: Duration,
-    },
-    /// Send [`Escrow::homes`](super::Escrow::homes) to all members: the pool home has moved.
-    AnnounceHome,
-}
-
-/// The latest announced pool home of an account.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub(crate) struct AnnouncedHome {
-    /// Increases with each move; 0 before the first.
-    pub(crate) term: u64,
-    pub(crate) vm: Option<VmId>,
-}
+pub(crate) use home::AnnouncedHome;
 
 /// The state of one account at one member.
 #[derive(Clone, Debug)]
@@ -480,54 +375,6 @@
         self.queue = kept;
     }
 
-    fn move_home_if_due(&mut self, now: Instant, peers: &[PeerStatus], actions: &mut Vec<Action>) {
-        let Some(best) = self.better_home(now, peers) else {
-            self.busier_since = None;
-            return;
-        };
-        let since = *self.busier_since.get_or_insert(now);
-        if now < since + self.settings.move_delay {
-            return;
-        }
-        self.busier_since = None;
-        self.announced = AnnouncedHome { term: self.announced.term + 1, vm: Some(best) };
-        self.grant_meters.clear();
-        self.return_pool_loans(now, actions);
-        actions.push(Action::AnnounceHome);
-    }
-
-    /// The busiest live member of the busiest zone, if that is another zone and its demand is at
-    /// least [`Settings::move_ratio`] times the own zone's plus 1 token per second.
-    fn better_home(&mut self, now: Instant, peers: &[PeerStatus]) -> Option<VmId> {
-        let mut zones: BTreeMap<&ZoneId, f64> = BTreeMap::new();
-        let mut members: BTreeMap<&VmId, f64> = BTreeMap::new();
-        for peer in peers.iter().filter(|p| p.live || p.vm == self.me.vm) {
-            let demand = self.grant_meters.get_mut(&peer.vm).map_or(0.0, |m| m.rate(now));
-            *zones.entry(&peer.zone).or_default() += demand;
-            members.insert(&peer.vm, demand);
-        }
-        let own = zones.get(&self.me.zone).copied().unwrap_or(0.0);
-        let (zone, demand) = zones.into_iter().max_by(|a, b| a.1.total_cmp(&b.1))?;
-        if zone == &self.me.zone || demand < own * self.settings.move_ratio + 1.0 {
-            return None;
-        }
-        peers
-            .iter()
-            .filter(|p| p.live && &p.zone == zone)
-            .max_by(|a, b| members[&a.vm].total_cmp(&members[&b.vm]))
-            .map(|p| p.vm.clone())
-    }
-
-    fn return_pool_loans(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        for (lender, returned) in self.pool.return_loans(now) {
-            if lender == self.me.vm {
-                self.quota.take_back(now, &lender, &returned);
-            } else {
-                actions.push(self.send(lender, Note::LoanReturn(returned)));
-            }
-        }
-    }
-
     fn grant_meter(&mut self, now: Instant, vm: &VmId) -> &mut Meter {
         self.grant_meters.entry(vm.clone()).or_insert_with(|| Meter::new(now))
     }
--- a/src/escrow/mod.rs
+++ b/src/escrow/mod.rs
@@ -19,12 +19,12 @@
 mod meter;
 mod pool;
 mod quota;
+mod terms;
 
-pub use account::{
-    AccountEscrow, Action, Admission, AdmissionRequest, PeerStatus, RateLimit, Settings,
-};
+pub use account::AccountEscrow;
 pub use accounts::{Escrow, IncomingNote};
 pub use bucket::TokenBucket;
 pub use granted::GrantedTokens;
 pub use pool::Pool;
 pub use quota::Quota;
+pub use terms::{Action, Admission, AdmissionRequest, PeerStatus, RateLimit, Settings};
--- a/src/steer/fleet.rs
+++ b/src/steer/fleet.rs
@@ -15,11 +15,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use macro_rules_attribute::apply;
-
 use super::rendezvous::{NameHash, name_hash, rendezvous_score};
-use crate::common::record;
-use crate::model::{Incarnation, Place, RegionId, VmId, ZoneId};
+use super::vm_record::{Liveness, VmRecord};
+use crate::model::{Place, RegionId, VmId, ZoneId};
 
 /// Time without a liveness report after which a VM no longer counts as running; look-ups then no
 /// longer return it.
@@ -42,37 +40,6 @@
 /// Rendezvous key that chooses the leaders of zones and regions, through which VMs read the store.
 const LEADER_ORDER: &[u8] = b"reader";
 
-/// An entry VM's record in the store.
-#[apply(record!)]
-pub struct VmRecord {
-    /// Its region and zone.
-    pub place: Place,
-    /// Its address for sessions from other entry VMs.
-    pub peers: SocketAddr,
-    /// Its address for callers.
-    pub callers: SocketAddr,
-    /// The incarnation of its process.
-    pub incarnation: Incarnation,
-    /// Its processor share, in thousandths of a core; 0 in records that do not say.
-    #[serde(default)]
-    pub cpu_millis: u32,
-}
-
-/// A report that an entry VM runs, from itself or passed on by another VM.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Liveness {
-    /// The VM that runs.
-    pub vm: VmId,
-    /// Its zone.
-    pub zone: ZoneId,
-    /// Its address for callers.
-    pub callers: SocketAddr,
-    /// True if it accepts callers.
-    pub serving: bool,
-    /// Time since the VM itself reported this.
-    pub age: Duration,
-}
-
 /// A VM that has a record in the store.
 #[derive(Clone, Debug)]
 struct RegisteredVm {
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -34,10 +34,11 @@
 mod retries;
 mod stopping;
 mod table;
+mod vm_record;
 mod zone_failures;
 
 pub use balancer::Balancer;
-pub use fleet::{Fleet, Liveness, VmRecord};
+pub use fleet::Fleet;
 pub use known::{DueProbe, TargetTrust};
 pub use limiter::{PoolTimestamp, RateLimiter, TakeResult};
 pub use notice::{NoticeOrigin, TargetNotice};
@@ -53,3 +54,4 @@
     Access, Customer, KeyHash, RequestLimits, Route, Service, Table, TableIndex, WeightedService,
     key_hash,
 };
+pub use vm_record::{Liveness, VmRecord};
