A stop counts from when its signal may have been sent, not from its handling

The platform's grace period counts from the sending of SIGTERM; the process measured its stop from the moment at which its event loop handled it. After a pause of more than 0.05 of the grace period it was killed with requests in flight, and it accepted requests sent later than 3 s after the signal whatever their timeout, which the platform does not excuse when they are cut.

Cause: a loop that is paused or short of processor time handles the signal late, and can't ask when it was sent. It can tell since when it has been late: the loop's timer of 100 ms (front/lag.rs) says when the loop ran. steer/signal.rs decides: a signal handled now came after the second-last tick. The last tick is no proof, since after a pause the timer and the signal are found in one pass of the loop. Exit and acceptance count from the earliest such moment, the end of the listener from the latest one; requests that may be cut are accepted only if the exit lies in the last sixth of the grace period whenever the signal came.

--- a/src/front/run.rs
+++ b/src/front/run.rs
@@ -95,7 +95,7 @@
             stop: OnceLock::new(),
             store_unreachable: AtomicBool::new(false),
             in_flight: InFlight::default(),
-            lag: LagMeter::default(),
+            lag: LagMeter::new(now),
             token_demand: Notify::new(),
             token_supply: Notify::new(),
             zone_demand: Notify::new(),
@@ -149,7 +149,8 @@
     pub async fn stop(self) {
         let front = self.front;
         let start = clock::now();
-        let stop = StopSchedule::new(start, front.config.bounds.grace.0);
+        let signal = front.lag.signal_window(start);
+        let stop = StopSchedule::new(signal, front.config.bounds.grace.0);
         front.decision_log.log("stop", &front.stop_record(start, start));
         // Only one stop happens, since it consumes the daemon.
         let _ = front.stop.set(stop);
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -10,7 +10,7 @@
 //! - [`RateLimiter`] and [`TokenPool`] keep each customer's rate over all entry VMs.
 //! - [`RetryBudgets`] bounds the retries.
 //! - [`ReadContext`] decides which VMs read the store.
-//! - [`StopSchedule`] decides what a stopping VM still accepts.
+//! - [`StopSchedule`] decides what a stopping VM still accepts; [`LoopTicks`] since when it stops.
 //! - [`Fleet`] knows the other entry VMs: which to sync from, draw tokens from and return in
 //!   look-ups.
 //!
@@ -32,6 +32,7 @@
 mod rendezvous;
 mod replica;
 mod retries;
+mod signal;
 mod stopping;
 mod table;
 mod zone_failures;
@@ -48,6 +49,7 @@
 pub use rendezvous::{NameHash, name_hash, rendezvous_score, weighted_score};
 pub use replica::{Delta, Feed, Item, Replica};
 pub use retries::{RetryBounds, RetryBudgets};
+pub use signal::{LoopTicks, SignalWindow};
 pub use stopping::StopSchedule;
 pub use table::{
     Access, Customer, KeyHash, RequestLimits, Route, Service, Table, TableIndex, WeightedService,
--- a/src/steer/stopping.rs
+++ b/src/steer/stopping.rs
@@ -7,6 +7,8 @@
 
 use std::time::Duration;
 
+use super::SignalWindow;
+
 /// Time for which a stopping VM accepts connections, until lookup responses that name it have
 /// expired.
 const ACCEPT_PERIOD: Duration = Duration::from_millis(3_200);
@@ -18,40 +20,62 @@
 const REJECT_FRACTION: f64 = 0.7;
 /// Fraction of the grace period after which the process exits even with requests in flight.
 const EXIT_FRACTION: f64 = 0.95;
+/// Fraction of the grace period after which a request may be cut while its target is at work, if it
+/// was sent early in the stop.
+const MAY_CUT_FRACTION: f64 = 5.0 / 6.0;
 /// Time from a request's timeout to its response having been written.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(100);
 
 /// The schedule of a graceful stop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StopSchedule {
-    start: Duration,
+    signal: SignalWindow,
     grace: Duration,
 }
 
 impl StopSchedule {
-    /// A stop that begins at `start` and ends within `grace`.
-    pub fn new(start: Duration, grace: Duration) -> Self {
-        Self { start, grace }
+    /// A stop that a signal begins, and that ends within `grace` of its sending.
+    pub fn new(signal: SignalWindow, grace: Duration) -> Self {
+        Self { signal, grace }
     }
 
     /// When the VM stops accepting connections.
     pub fn close_at(&self) -> Duration {
-        self.start + ACCEPT_PERIOD.min(self.grace.mul_f64(REJECT_FRACTION))
+        let expired = self.signal.latest + ACCEPT_PERIOD;
+        expired.min(self.after(REJECT_FRACTION))
     }
 
     /// When the process exits even with requests in flight.
     pub fn exit_at(&self) -> Duration {
-        self.start + self.grace.mul_f64(EXIT_FRACTION)
+        self.after(EXIT_FRACTION)
     }
 
     /// True if a request that times out at `deadline` may be sent to a target now.
     pub fn accepts(&self, now: Duration, deadline: Duration) -> bool {
-        let elapsed = now.saturating_sub(self.start);
-        let any_timeout = ANY_TIMEOUT_PERIOD.min(self.grace.mul_f64(ANY_TIMEOUT_FRACTION));
-        if elapsed < any_timeout {
-            return true;
+        match self.finishes(deadline) {
+            true => now < self.after(REJECT_FRACTION),
+            false => self.may_cut() && now < self.any_timeout_until(),
         }
-        let finishes = deadline.saturating_add(RESPONSE_MARGIN) <= self.exit_at();
-        finishes && elapsed < self.grace.mul_f64(REJECT_FRACTION)
+    }
+
+    /// True if a request that times out at `deadline` is sure to end before the process exits.
+    fn finishes(&self, deadline: Duration) -> bool {
+        deadline.saturating_add(RESPONSE_MARGIN) <= self.exit_at()
+    }
+
+    /// True if the process exits so late that the platform lets it cut requests that it accepted early
+    /// in the stop, whenever the signal was sent.
+    fn may_cut(&self) -> bool {
+        self.signal.latest + self.grace.mul_f64(MAY_CUT_FRACTION) <= self.exit_at()
+    }
+
+    fn any_timeout_until(&self) -> Duration {
+        let period = ANY_TIMEOUT_PERIOD.min(self.grace.mul_f64(ANY_TIMEOUT_FRACTION));
+        self.signal.earliest + period
+    }
+
+    /// The moment after which a fraction of the grace period may be over.
+    fn after(&self, fraction: f64) -> Duration {
+        self.signal.earliest + self.grace.mul_f64(fraction)
     }
 }
--- a/tests/steer_stopping.rs
+++ b/tests/steer_stopping.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
-use shallotstall::steer::StopSchedule;
+use shallotstall::steer::{LoopTicks, SignalWindow, StopSchedule};
 
 const START: Duration = Duration::from_secs(100);
 
@@ -13,7 +13,7 @@
 
 #[test]
 fn early_requests_are_accepted_whatever_their_timeout() {
-    let stop = StopSchedule::new(START, ms(6_000));
+    let stop = StopSchedule::new(SignalWindow::exact(START), ms(6_000));
     assert!(stop.accepts(START, START + ms(60_000)));
     assert!(stop.accepts(START + ms(2_000), START + ms(8_000)));
 }
@@ -21,7 +21,7 @@
 /// Guards against requests that are sent to a target although the process exits before they end.
 #[test]
 fn late_requests_are_accepted_only_if_they_time_out_before_the_exit() {
-    let stop = StopSchedule::new(START, ms(6_000));
+    let stop = StopSchedule::new(SignalWindow::exact(START), ms(6_000));
     assert!(!stop.accepts(START + ms(3_000), START + ms(6_000)));
     assert!(stop.accepts(START + ms(3_000), START + ms(4_500)));
     assert!(!stop.accepts(START + ms(4_300), START + ms(4_400)), "the stop is nearly over");
@@ -35,7 +35,7 @@
         elapsed in 3_000u64..60_000,
         timeout in 0u64..120_000,
     ) {
-        let stop = StopSchedule::new(START, ms(grace));
+        let stop = StopSchedule::new(SignalWindow::exact(START), ms(grace));
         let now = START + ms(elapsed);
         if stop.accepts(now, now + ms(timeout)) {
             prop_assert!(now + ms(timeout) < stop.exit_at());
@@ -44,3 +44,56 @@
         prop_assert!(stop.exit_at() < START + ms(grace));
     }
 }
+
+/// Guards against the tick that is found together with a signal after a pause, and counts as a proof
+/// that the loop ran before it.
+#[test]
+fn a_signal_may_have_been_sent_during_the_whole_pause_before_it_was_handled() {
+    let mut ticks = LoopTicks::new(START);
+    for now in [100, 200, 300] {
+        ticks.record(START + ms(now));
+    }
+    let paused = ticks;
+    ticks.record(START + ms(1_100));
+    let window = ticks.signal_window(START + ms(1_101));
+    let stop = StopSchedule::new(window, ms(6_000));
+    assert!(stop.exit_at() < START + ms(300) + ms(6_000), "sent at the start of the pause");
+
+    // The signal is handled before the tick.
+    let window = paused.signal_window(START + ms(1_100));
+    let stop = StopSchedule::new(window, ms(6_000));
+    assert!(stop.exit_at() < START + ms(300) + ms(6_000), "sent at the start of the pause");
+}
+
+#[test]
+fn a_loop_that_has_not_ticked_yet_has_run_since_its_start() {
+    let stop = StopSchedule::new(LoopTicks::new(START).signal_window(START + ms(70)), ms(6_000));
+    assert!(stop.exit_at() < START + ms(6_000));
+}
+
+proptest! {
+    /// Whenever in its window the signal was sent: the process exits before it is killed, and accepts
+    /// late requests only if they end before.
+    #[test]
+    fn a_late_handling_of_the_signal_is_no_excuse(
+        grace in 500u64..60_000,
+        pause in 0u64..5_000,
+        sent in 0u64..5_000,
+        elapsed in 0u64..60_000,
+        timeout in 0u64..120_000,
+    ) {
+        let mut ticks = LoopTicks::new(START);
+        ticks.record(START);
+        ticks.record(START + ms(pause));
+        let signal = START + ms(sent.min(pause));
+        let handled = START + ms(pause);
+        let stop = StopSchedule::new(ticks.signal_window(handled), ms(grace));
+        prop_assert!(stop.exit_at() < signal + ms(grace));
+        let now = handled + ms(elapsed);
+        let deadline = now + ms(timeout);
+        if stop.accepts(now, deadline) && deadline >= stop.exit_at() {
+            prop_assert!(now <= signal + ms(3_000), "the platform excuses only earlier requests");
+            prop_assert!(stop.exit_at() >= signal + ms(grace).mul_f64(5.0 / 6.0));
+        }
+    }
+}
