Stand-in: targets that say that they leave, and targets that ask for a pause

A target of shallot-standin can say in each response that it leaves (--leaving) and shed each request with any Retry-After (--pause).

--- a/src/bin/standin.rs
+++ b/src/bin/standin.rs
@@ -45,6 +45,12 @@
         /// Time for which each request runs, in milliseconds.
         #[arg(long, default_value_t = 5)]
         work_ms: u64,
+        /// Say in each response that the target leaves.
+        #[arg(long)]
+        leaving: bool,
+        /// Shed each request with this Retry-After, in seconds.
+        #[arg(long, default_value = "", value_name = "SECONDS")]
+        pause: String,
     },
     /// Send JSON from standard input to a fault port, such as /faults or /vms.
     Set {
@@ -76,8 +82,8 @@
             println!("{{\"addr\":\"{}\",\"faults\":\"{}\"}}", store.addr, store.fault_addr);
             wait_for_interrupt().await
         }
-        Part::Target { listen, count, slots, work_ms } => {
-            let faults = TargetFaults { work_ms, ..TargetFaults::default() };
+        Part::Target { listen, count, slots, work_ms, leaving, pause } => {
+            let faults = TargetFaults { work_ms, leaving, pause, ..TargetFaults::default() };
             let mut targets = Vec::new();
             for _ in 0..count {
                 let target = TargetStandin::start(listen, slots, faults.clone()).await?;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -12,6 +12,7 @@
 mod membership;
 mod mesh;
 mod metrics;
+mod notices;
 mod once;
 mod operators;
 mod peers;
@@ -43,6 +44,7 @@
 use crate::targets::CrashTracker;
 
 pub use changes::{ChangeReport, DocumentVersion, ShiftRequest};
+pub(crate) use notices::LEAVING_HEADER;
 pub use run::{Daemon, Ports};
 pub use status::Status;
 
--- a/src/standin/target.rs
+++ b/src/standin/target.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::task::{Context as TaskContext, Poll};
 use std::time::Duration;
@@ -23,9 +23,14 @@
 use super::read_json;
 use crate::common::record;
 use crate::net::{Respond, Server, full_body, json_response, text_response};
+use crate::node::{LEAVING_HEADER, unix_millis};
 
 /// How long the faults `stall` and `silence` withhold a response.
 const WITHHELD_RESPONSE_DELAY: Duration = Duration::from_secs(120);
+/// Header with a request's id, which each response echoes.
+const REQUEST_ID_HEADER: &str = "x-request-id";
+/// `Retry-After` of a request that is shed, in seconds, unless a fault names another one.
+const DEFAULT_PAUSE: &str = "1";
 
 /// The faults and the speed of the target.
 #[apply(record!)]
@@ -46,6 +51,10 @@
     pub report: Option<u32>,
     /// Connections used before this is set get no more responses; new ones work.
     pub silence: bool,
+    /// Every response says that the target leaves, also those to probes.
+    pub leaving: bool,
+    /// Every request is shed with this value of `Retry-After`, unless the text is empty.
+    pub pause: String,
 }
 
 /// A request that the target ran.
@@ -79,7 +88,12 @@
     /// # Errors
     /// Fails if an address can't be listened on.
     pub async fn start(addr: SocketAddr, slots: u32, faults: TargetFaults) -> Result<Self> {
-        let state = Arc::new(State { slots, faults: Mutex::new(faults), ..State::default() });
+        let state = Arc::new(State {
+            slots,
+            started_ms: unix_millis(),
+            faults: Mutex::new(faults),
+            ..State::default()
+        });
         let listener =
             TcpListener::bind(addr).await.with_context(|| format!("listen at {addr}"))?;
         let free = SocketAddr::new(addr.ip(), 0);
@@ -94,7 +108,11 @@
 #[derive(Default)]
 struct State {
     slots: u32,
+    /// When it started, in milliseconds since the Unix epoch.
+    started_ms: u64,
     running: AtomicU32,
+    /// Requests that were shed.
+    shed: AtomicU64,
     /// The most requests that ran at once.
     peak: AtomicU32,
     faults: Mutex<TargetFaults>,
@@ -116,25 +134,54 @@
             tokio::time::sleep(WITHHELD_RESPONSE_DELAY).await;
         }
         let faults = state.faults.lock().expect("faults lock").clone();
-        if request.uri().path() == "/.load" {
-            let running = state.running.load(Ordering::Relaxed);
-            let load = BTreeMap::from([
-                ("running", faults.report.unwrap_or(running)),
-                ("slots", state.slots),
-            ]);
-            return json_response(StatusCode::OK, &load);
+        let mut response = match request.uri().path() {
+            "/.load" => state.report_load(&faults),
+            _ => state.run(&request, &faults).await,
+        };
+        let headers = response.headers_mut();
+        if let Some(id) = request.headers().get(REQUEST_ID_HEADER) {
+            headers.insert(REQUEST_ID_HEADER, id.clone());
+        }
+        if faults.leaving {
+            headers.insert(LEAVING_HEADER, HeaderValue::from_static("1"));
         }
-        let _guard = RunningGuard(&state.running);
-        let running = state.running.fetch_add(1, Ordering::Relaxed) + 1;
-        state.peak.fetch_max(running, Ordering::Relaxed);
-        if faults.shed || running > state.slots {
-            let mut response = text_response(StatusCode::SERVICE_UNAVAILABLE, "shed");
-            response.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static("1"));
-            response.headers_mut().insert("x-shed", HeaderValue::from_static("1"));
-            return response;
+        response
+    }
+
+    async fn respond_body(&self, request: Request<Bytes>, from: SocketAddr) -> Response<Body> {
+        let truncate = self.0.faults.lock().expect("faults lock").truncate;
+        let response = self.respond(request, from).await;
+        if !truncate {
+            return response.map(full_body);
         }
-        let run = to_executed(&request);
-        state.runs.lock().expect("runs lock").push(run.clone());
+        let (mut head, bytes) = response.into_parts();
+        head.headers.insert(CONTENT_LENGTH, HeaderValue::from(bytes.len()));
+        let half = bytes.slice(..bytes.len() / 2);
+        Response::from_parts(head, Truncated { half: Some(half) }.boxed_unsync())
+    }
+}
+
+impl State {
+    fn report_load(&self, faults: &TargetFaults) -> Response<Bytes> {
+        let running = self.running.load(Ordering::Relaxed);
+        let load = BTreeMap::from([
+            ("running", u64::from(faults.report.unwrap_or(running))),
+            ("slots", u64::from(self.slots)),
+            ("started_ms", self.started_ms),
+        ]);
+        json_response(StatusCode::OK, &load)
+    }
+
+    /// Runs or sheds a request.
+    async fn run(&self, request: &Request<Bytes>, faults: &TargetFaults) -> Response<Bytes> {
+        let _guard = RunningGuard(&self.running);
+        let running = self.running.fetch_add(1, Ordering::Relaxed) + 1;
+        self.peak.fetch_max(running, Ordering::Relaxed);
+        if faults.shed || !faults.pause.is_empty() || running > self.slots {
+            return self.shed(faults);
+        }
+        let run = to_executed(request);
+        self.runs.lock().expect("runs lock").push(run.clone());
         if !faults.crash_on.is_empty() && run.seen.contains(&faults.crash_on) {
             // The exit status that a shell reports for a process ended by SIGABRT: 128 + 6.
             std::process::exit(134);
@@ -151,16 +198,16 @@
         json_response(StatusCode::OK, &echo)
     }
 
-    async fn respond_body(&self, request: Request<Bytes>, from: SocketAddr) -> Response<Body> {
-        let truncate = self.0.faults.lock().expect("faults lock").truncate;
-        let response = self.respond(request, from).await;
-        if !truncate {
-            return response.map(full_body);
+    /// Sheds a request.
+    fn shed(&self, faults: &TargetFaults) -> Response<Bytes> {
+        self.shed.fetch_add(1, Ordering::Relaxed);
+        let pause = if faults.pause.is_empty() { DEFAULT_PAUSE } else { &faults.pause };
+        let mut response = text_response(StatusCode::SERVICE_UNAVAILABLE, "shed");
+        if let Ok(value) = HeaderValue::from_str(pause) {
+            response.headers_mut().insert(RETRY_AFTER, value);
         }
-        let (mut head, bytes) = response.into_parts();
-        head.headers.insert(CONTENT_LENGTH, HeaderValue::from(bytes.len()));
-        let half = bytes.slice(..bytes.len() / 2);
-        Response::from_parts(head, Truncated { half: Some(half) }.boxed_unsync())
+        response.headers_mut().insert("x-shed", HeaderValue::from_static("1"));
+        response
     }
 }
 
@@ -204,6 +251,9 @@
             (Method::GET, "/peak") => {
                 text_response(StatusCode::OK, &state.peak.load(Ordering::Relaxed).to_string())
             }
+            (Method::GET, "/shed") => {
+                text_response(StatusCode::OK, &state.shed.load(Ordering::Relaxed).to_string())
+            }
             (Method::POST, "/faults") => match read_json(&request) {
                 Ok(faults) => {
                     state.set_faults(faults);
@@ -211,7 +261,7 @@
                 }
                 Err(response) => *response,
             },
-            _ => text_response(StatusCode::NOT_FOUND, "GET /runs, GET /peak or POST /faults"),
+            _ => text_response(StatusCode::NOT_FOUND, "GET /runs, /peak or /shed, or POST /faults"),
         }
     }
 }
@@ -238,7 +288,7 @@
     }
     seen.push_str(&String::from_utf8_lossy(request.body()));
     ExecutedRequest {
-        request: header("x-request-id"),
+        request: header(REQUEST_ID_HEADER),
         customer: header("x-shallot-customer"),
         key: header("idempotency-key"),
         path: format!("{} {}", request.method(), request.uri()),
