The daemon obeys what a target says of itself: that it leaves, or that it wants a pause

What callers saw: in a release with the store down, shallotstalld went on sending requests to targets that had said that they leave, and a target that shed with Retry-After was asked again at once; its 503s reached callers.

Cause: src/node read neither header; only the fronts of the platform did.

Evidence: tests/notices.rs on real processes, 2 VMs, 3 targets, store down.

Why it works: the response's head is read by the front's code (TargetNotice::from_head, moved there from front/notices.rs) before the slot is free again, and kept by the front's NoticeState in the dispatcher of the owner, which sends the zone's requests to that target. A notice ends with the process at the address. A new owner hears of a target that leaves by the probe that precedes its first request. dispatcher.rs had grown large: the single target is now tracked.rs. What was Leave by the list is unchanged, and so are the existing tests.

--- a/src/front/attempt.rs
+++ b/src/front/attempt.rs
@@ -11,7 +11,7 @@
 
 use crate::clock;
 use crate::model::TargetId;
-use crate::steer::{Pick, PickRequest, PickResult};
+use crate::steer::{Pick, PickRequest, PickResult, caller_pause};
 
 use super::Front;
 use super::crash_check::check_for_crash;
@@ -22,8 +22,6 @@
 
 /// Least time before the deadline at which a request is still sent to a target.
 const TIME_LEFT_MIN: Duration = Duration::from_millis(30);
-/// Largest factor by which a caller is told to wait longer than its targets' pause.
-const RETURN_SPREAD_MAX: f64 = 1.2;
 /// Most attempts of a request that may fail without reaching a target; one more ends the request.
 const UNREACHED_MAX: u32 = 4;
 
@@ -198,7 +196,7 @@
 
 /// A pause that is longer by a random part, so that callers don't return in one moment.
 fn spread(pause: Duration) -> Duration {
-    pause.mul_f64(rand::rng().random_range(1.0..RETURN_SPREAD_MAX))
+    caller_pause(pause, rand::rng().random())
 }
 
 /// Debits a retry from the budget. Returns false if the budget is exhausted.
--- a/src/front/notices.rs
+++ b/src/front/notices.rs
@@ -1,13 +1,11 @@
 //! Reads what targets say of themselves in the heads of their responses, and passes it on.
 
-use http::header::RETRY_AFTER;
 use http::{HeaderMap, StatusCode};
 use rand::Rng;
 use serde::Serialize;
 
 use crate::clock;
 use crate::model::TargetId;
-use crate::net::header_text;
 use crate::node::unix_millis;
 use crate::steer::{NoticeOrigin, TargetNotice};
 
@@ -27,14 +25,7 @@
     status: StatusCode,
     headers: &HeaderMap,
 ) -> TargetNotice {
-    // A 421 comes from another process at the target's address.
-    if status == StatusCode::MISDIRECTED_REQUEST {
-        return TargetNotice::default();
-    }
-    let leaving = names.leaving.iter().find_map(|name| header_text(headers, name));
-    let rejected = status == StatusCode::SERVICE_UNAVAILABLE;
-    let pause = header_text(headers, RETRY_AFTER).filter(|_| rejected);
-    TargetNotice::parse(leaving, pause)
+    TargetNotice::from_head(&names.leaving, status, headers)
 }
 
 impl Front {
--- a/src/node/egress.rs
+++ b/src/node/egress.rs
@@ -15,8 +15,8 @@
 use crate::route::LinkBudget;
 use crate::spread::ConfigView;
 use crate::targets::{
-    AssignedSlot, AttemptResult, DispatchLimits, Dispatcher, OwnedTarget, QueuedRequest,
-    SlotDecision,
+    AssignedSlot, AttemptResult, DispatchLimits, Dispatcher, NoticeInForce, OwnedTarget,
+    QueuedRequest, SlotDecision, TargetState,
 };
 use crate::zone::Roster;
 
@@ -33,6 +33,17 @@
     unprobed: AtomicBool,
 }
 
+/// A target as its dispatcher knows it.
+pub(crate) struct TargetStatus {
+    pub(crate) service: ServiceId,
+    pub(crate) target: OwnedTarget,
+    pub(crate) state: TargetState,
+    /// Requests of this VM that run there.
+    pub(crate) busy: u32,
+    /// What it says of itself, if that is in force.
+    pub(crate) notice: Option<NoticeInForce>,
+}
+
 #[derive(Default)]
 struct Inner {
     dispatchers: BTreeMap<ServiceId, Dispatcher>,
@@ -115,13 +126,15 @@
             .sum()
     }
 
-    /// Each target with its service, state and number of running requests.
-    pub(crate) fn targets(&self) -> Vec<(ServiceId, OwnedTarget, String, u32)> {
+    /// The targets of all services.
+    pub(crate) fn targets(&self, now: Instant) -> Vec<TargetStatus> {
         let inner = self.inner.lock().expect("egress lock");
         let mut out = Vec::new();
-        for (name, dispatcher) in &inner.dispatchers {
-            for (owned, state, busy) in dispatcher.targets() {
-                out.push((name.clone(), owned.clone(), format!("{state:?}"), busy));
+        for (service, dispatcher) in &inner.dispatchers {
+            for (target, state, busy) in dispatcher.targets() {
+                let (service, target) = (service.clone(), target.clone());
+                let notice = dispatcher.notice_of(now, &target.id);
+                out.push(TargetStatus { service, target, state, busy, notice });
             }
         }
         out
@@ -234,7 +247,7 @@
 /// A slot in use. It goes back to its dispatcher when dropped.
 pub(super) struct HeldSlot<'a> {
     node: &'a Node,
-    service: ServiceId,
+    pub(super) service: ServiceId,
     pub(super) slot: AssignedSlot,
     /// How the attempt has ended.
     pub(super) result: AttemptResult,
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -25,12 +25,20 @@
     pub(crate) service: String,
 }
 
+/// Labels of a notice of a target.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct NoticeLabels {
+    /// `leaving` or `pause`.
+    pub(crate) kind: &'static str,
+}
+
 /// All metrics. Counters change where the event happens, gauges when the metrics are read.
 pub(crate) struct Metrics {
     registry: Mutex<Registry>,
     pub(crate) requests: Family<RequestLabels, Counter>,
     pub(crate) latency: Family<ServiceLabels, Histogram>,
     pub(crate) retries: Family<ServiceLabels, Counter>,
+    pub(crate) notices: Family<NoticeLabels, Counter>,
     pub(crate) transfers: Counter,
     pub(crate) forwards: Counter,
     pub(crate) deaths: Counter,
@@ -51,6 +59,7 @@
             requests: Family::default(),
             latency: Family::new_with_constructor(histogram as fn() -> Histogram),
             retries: Family::default(),
+            notices: Family::default(),
             transfers: Counter::default(),
             forwards: Counter::default(),
             deaths: Counter::default(),
@@ -65,6 +74,11 @@
         registry.register("requests", "Requests by outcome", metrics.requests.clone());
         registry.register("latency_seconds", "Time to answer", metrics.latency.clone());
         registry.register("retries", "Requests sent again", metrics.retries.clone());
+        registry.register(
+            "target_notices",
+            "Targets that began to leave or to pause by their own word",
+            metrics.notices.clone(),
+        );
         registry.register("transfers", "Messages of rate transfers", metrics.transfers.clone());
         registry.register("forwards", "Requests sent to other VMs", metrics.forwards.clone());
         registry.register("deaths", "Targets that died in flight", metrics.deaths.clone());
--- a/src/node/notices.rs
+++ b/src/node/notices.rs
@@ -1,4 +1,55 @@
-//! What targets say of themselves in the heads of their responses.
+//! What targets say of themselves in the heads of their responses: reads it and passes it to the
+//! dispatcher of the target's service.
+
+use std::time::Instant;
+
+use bytes::Bytes;
+use http::{HeaderName, Response};
+
+use crate::model::ServiceId;
+use crate::net::header_text;
+use crate::steer::TargetNotice;
+use crate::targets::NoticeReport;
+
+use super::metrics::NoticeLabels;
+use super::{Node, peers};
 
 /// Header with which a target says that it leaves.
 pub(crate) const LEAVING_HEADER: &str = "x-shallot-leaving";
+
+/// Reads the notice in the response to the request with this id. One that names another request came
+/// late or twice, and says nothing.
+pub(super) fn read_notice(response: &Response<Bytes>, request: &str) -> TargetNotice {
+    let echoed = header_text(response.headers(), "x-request-id");
+    if echoed.is_some_and(|id| id != request) {
+        return TargetNotice::default();
+    }
+    read_own_notice(response)
+}
+
+/// Reads the notice in a response that came on a connection of its own.
+pub(super) fn read_own_notice(response: &Response<Bytes>) -> TargetNotice {
+    let leaving = HeaderName::from_static(LEAVING_HEADER);
+    TargetNotice::from_head(&[leaving], response.status(), response.headers())
+}
+
+/// Records a notice, and tells the peers at once that the target has no slots for a while.
+pub(super) fn record(node: &Node, service: &ServiceId, report: &NoticeReport<'_>) {
+    if report.notice.is_empty() {
+        return;
+    }
+    let now = Instant::now();
+    let mut is_new = false;
+    node.egress.with_dispatcher(service, |dispatcher, rng| {
+        let before = dispatcher.notice_of(now, report.target);
+        let decisions = dispatcher.record_notice(now, report, rng);
+        is_new = before.is_none() && dispatcher.notice_of(now, report.target).is_some();
+        decisions
+    });
+    if is_new {
+        let kind = if report.notice.leaving { "leaving" } else { "pause" };
+        node.metrics.notices.get_or_create(&NoticeLabels { kind }).inc();
+        log::info!("target: {} says of itself: {:?}.", report.target, report.notice);
+        peers::broadcast_heartbeat(node);
+    }
+}
--- a/src/node/probe.rs
+++ b/src/node/probe.rs
@@ -7,11 +7,14 @@
 
 use bytes::Bytes;
 use futures_util::future::join_all;
-use http::Request;
+use http::{Request, Response};
 
+use crate::model::ServiceId;
 use crate::net::HttpError;
+use crate::steer::TargetNotice;
+use crate::targets::{NoticeReport, OwnedTarget, TargetState};
 
-use super::{Node, peers};
+use super::{Node, notices, peers, unix_millis};
 
 /// Interval of the probes of each target; a new target is probed at once.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
@@ -24,8 +27,18 @@
 
 /// The load report of a target.
 #[derive(serde::Deserialize)]
-struct LoadReport {
+pub(crate) struct LoadReport {
     running: u32,
+    /// When its process started, in milliseconds since the Unix epoch.
+    started_ms: Option<u64>,
+}
+
+/// The result of a probe.
+pub(crate) struct ProbeResult {
+    /// What the target says of itself.
+    notice: TargetNotice,
+    /// Its load report.
+    pub(crate) outcome: Result<LoadReport, HttpError>,
 }
 
 /// Probes the targets and ticks the dispatchers until the daemon ends.
@@ -52,37 +65,52 @@
     }
 }
 
+/// Probes all targets but those that have asked for a pause.
 async fn probe_all(node: &Node) {
-    let probes = node.egress.targets().into_iter().map(|(service, owned, _, _)| async move {
-        let outcome = probe(node, owned.addr).await;
-        let now = Instant::now();
-        match outcome {
-            Ok(running) => node.egress.with_dispatcher(&service, |dispatcher, rng| {
-                dispatcher.record_probe(now, &owned.id, Some(running), rng)
-            }),
-            Err(e) if e.connection_refused => {
-                node.egress.with_dispatcher(&service, |dispatcher, rng| {
-                    dispatcher.record_crash(now, &owned.id, rng)
-                });
-            }
-            Err(_) => {
-                node.egress.with_dispatcher(&service, |dispatcher, rng| {
-                    dispatcher.record_probe(now, &owned.id, None, rng)
-                });
-            }
-        }
+    let targets = node.egress.targets(Instant::now());
+    let probes = targets.iter().filter(|t| t.state != TargetState::Paused).map(async |status| {
+        let result = probe(node, status.target.addr).await;
+        record(node, &status.service, &status.target, result);
     });
     join_all(probes).await;
 }
 
+fn record(node: &Node, service: &ServiceId, target: &OwnedTarget, result: ProbeResult) {
+    let (now, id) = (Instant::now(), &target.id);
+    let started_ms = result.outcome.as_ref().ok().and_then(|r| r.started_ms);
+    if let Some(started_ms) = started_ms {
+        node.egress.with_dispatcher(service, |dispatcher, _| {
+            dispatcher.record_start(now, id, started_ms);
+            Vec::new()
+        });
+    }
+    // Before the probe counts as successful, so that a target that leaves gets no request.
+    let (notice, said_ms) = (result.notice, unix_millis());
+    let report = NoticeReport { target: id, addr: target.addr, notice, said_ms };
+    notices::record(node, service, &report);
+    node.egress.with_dispatcher(service, |dispatcher, rng| match result.outcome {
+        Ok(report) => dispatcher.record_probe(now, id, Some(report.running), rng),
+        Err(e) if e.connection_refused => dispatcher.record_crash(now, id, rng),
+        Err(_) => dispatcher.record_probe(now, id, None, rng),
+    });
+}
+
 /// Asks a target for its load, on a new connection.
-pub(crate) async fn probe(node: &Node, addr: SocketAddr) -> Result<u32, HttpError> {
+pub(crate) async fn probe(node: &Node, addr: SocketAddr) -> ProbeResult {
     let mut request = Request::new(Bytes::new());
     *request.uri_mut() =
         format!("http://{addr}{LOAD_PATH}").parse().expect("a socket address makes a valid URI");
-    let response = node.client.send_unpooled(request, PROBE_TIMEOUT).await?;
-    let report = serde_json::from_slice::<LoadReport>(response.body());
-    report.map(|r| r.running).map_err(|e| HttpError {
+    match node.client.send_unpooled(request, PROBE_TIMEOUT).await {
+        Ok(response) => {
+            let notice = notices::read_own_notice(&response);
+            ProbeResult { notice, outcome: parse_report(addr, &response) }
+        }
+        Err(e) => ProbeResult { notice: TargetNotice::default(), outcome: Err(e) },
+    }
+}
+
+fn parse_report(addr: SocketAddr, response: &Response<Bytes>) -> Result<LoadReport, HttpError> {
+    serde_json::from_slice(response.body()).map_err(|e| HttpError {
         step: "read load report",
         peer: addr.to_string(),
         cause: e.to_string(),
--- a/src/node/status.rs
+++ b/src/node/status.rs
@@ -69,8 +69,10 @@
     let now = Instant::now();
     let view = node.view();
     let peers = node.mesh.peers();
-    let targets = node.egress.targets().into_iter().map(|(service, owned, state, busy)| {
-        (format!("{service}/{}", owned.id), format!("{state}, {busy} of {} busy", owned.slots))
+    let targets = node.egress.targets(now).into_iter().map(|t| {
+        let notice = t.notice.map(|n| format!("; {n}")).unwrap_or_default();
+        let text = format!("{:?}, {} of {} busy{notice}", t.state, t.busy, t.target.slots);
+        (format!("{}/{}", t.service, t.target.id), text)
     });
     let homes = node.escrow.with(|e| {
         let accounts: Vec<_> = e.accounts().cloned().collect();
--- a/src/node/target_call.rs
+++ b/src/node/target_call.rs
@@ -9,11 +9,11 @@
 
 use crate::net::{HttpError, PortState, check_port};
 use crate::peer::{Answer, Forward, Outcome};
-use crate::targets::{AssignedSlot, AttemptResult};
+use crate::targets::{AssignedSlot, AttemptResult, NoticeReport};
 
 use super::egress::HeldSlot;
 use super::trace::{SpanContext, SpanEnd};
-use super::{Node, probe, sanitize};
+use super::{Node, notices, probe, sanitize, unix_millis};
 
 /// Duration of the check whether a target has crashed.
 const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(400);
@@ -44,6 +44,7 @@
     };
     let answer = match sent {
         Ok(response) => {
+            record_notice(node, forward, held, &response);
             let shed = response.headers().contains_key("x-shed");
             held.result =
                 if shed { AttemptResult::Shed } else { AttemptResult::Answered(start.elapsed()) };
@@ -60,6 +61,17 @@
     answer
 }
 
+/// Records what the target says of itself, before its slot is free for another request.
+fn record_notice(node: &Node, forward: &Forward, held: &HeldSlot<'_>, response: &Response<Bytes>) {
+    let report = NoticeReport {
+        target: &held.slot.target,
+        addr: held.slot.addr,
+        notice: notices::read_notice(response, &forward.request),
+        said_ms: unix_millis(),
+    };
+    notices::record(node, &held.service, &report);
+}
+
 async fn classify_failure(
     node: &Node,
     held: &mut HeldSlot<'_>,
@@ -83,7 +95,7 @@
 /// True if the target has crashed: it then refuses new connections, as one that is only slow does
 /// not.
 async fn has_crashed(node: &Node, addr: SocketAddr) -> bool {
-    match probe::probe(node, addr).await {
+    match probe::probe(node, addr).await.outcome {
         Ok(_) => false,
         Err(e) if e.connection_refused => true,
         Err(_) => check_port(addr, CRASH_CHECK_TIMEOUT).await == PortState::Refused,
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -41,6 +41,7 @@
 pub use known::{DueProbe, TargetTrust};
 pub use limiter::{PoolTimestamp, RateLimiter, TakeResult};
 pub use notice::{NoticeOrigin, TargetNotice};
+pub(crate) use notice::{NoticeState, caller_pause};
 pub use pick::{Pick, PickRequest, PickResult};
 pub use pool::{TokenGrant, TokenPool, TokenRequest};
 pub use reading::{ReadContext, Upstream};
--- a/src/steer/notice.rs
+++ b/src/steer/notice.rs
@@ -7,12 +7,20 @@
 
 use std::time::Duration;
 
+use http::header::RETRY_AFTER;
+use http::{HeaderMap, HeaderName, StatusCode};
+
+use crate::net::header_text;
+
 /// Longest pause that is kept. A target that names a longer one is asked again after this.
 const PAUSE_MAX: Duration = Duration::from_secs(3_600);
 /// Largest part of a pause that is added to it, so that entry VMs don't come back in one moment.
 const SPREAD_RATIO: f64 = 0.1;
 /// Upper bound of what is added to a pause.
 const SPREAD_MAX: Duration = Duration::from_millis(500);
+/// Largest part of a pause that is added to the `Retry-After` of callers, so that they don't return
+/// in one moment.
+const CALLER_SPREAD_RATIO: f64 = 0.2;
 
 /// What a target says of itself in one response.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -24,6 +32,19 @@
 }
 
 impl TargetNotice {
+    /// Reads the notice in a response's head, which must be known to come from the target itself.
+    /// `leaving` are the names of the header with which targets say that they leave.
+    pub fn from_head(leaving: &[HeaderName], status: StatusCode, headers: &HeaderMap) -> Self {
+        // A 421 comes from another process at the target's address.
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            return Self::default();
+        }
+        let leaving = leaving.iter().find_map(|name| header_text(headers, name));
+        let rejected = status == StatusCode::SERVICE_UNAVAILABLE;
+        let pause = header_text(headers, RETRY_AFTER).filter(|_| rejected);
+        Self::parse(leaving, pause)
+    }
+
     /// Reads the values of the two headers; a value that makes no sense says nothing.
     pub fn parse(leaving: Option<&str>, pause: Option<&str>) -> Self {
         Self { leaving: leaving.is_some_and(says_yes), pause: pause.and_then(parse_pause) }
@@ -35,6 +56,12 @@
     }
 }
 
+/// The `Retry-After` of a caller whose request is rejected because all targets are paused: never
+/// less than `pause`. `sample`, from 0 to 1, spreads callers.
+pub(crate) fn caller_pause(pause: Duration, sample: f64) -> Duration {
+    pause + pause.mul_f64(CALLER_SPREAD_RATIO * sample)
+}
+
 fn says_yes(value: &str) -> bool {
     !matches!(value.trim(), "" | "0" | "false")
 }
@@ -72,7 +99,10 @@
 pub(crate) struct NoticeState {
     /// Origin of the last notice.
     origin: Option<NoticeOrigin>,
-    leaving: bool,
+    /// When it first said that it leaves.
+    leaving_since: Option<Duration>,
+    /// When it last asked for a pause.
+    pause_since: Duration,
     /// It gets no requests until then.
     paused_until: Duration,
 }
@@ -87,9 +117,12 @@
         sample: f64,
     ) {
         self.origin = Some(origin);
-        self.leaving |= notice.leaving;
+        if notice.leaving {
+            self.leaving_since.get_or_insert(now);
+        }
         if let Some(pause) = notice.pause {
             let spread = pause.mul_f64(SPREAD_RATIO).min(SPREAD_MAX).mul_f64(sample);
+            self.pause_since = now;
             self.paused_until = self.paused_until.max(now + pause + spread);
         }
     }
@@ -105,7 +138,17 @@
     }
 
     pub(crate) fn is_leaving(&self) -> bool {
-        self.leaving
+        self.leaving_since.is_some()
+    }
+
+    /// Time since it first said that it leaves, if it has.
+    pub(crate) fn leaving_age(&self, now: Duration) -> Option<Duration> {
+        self.leaving_since.map(|since| now.saturating_sub(since))
+    }
+
+    /// Time since it last asked for a pause.
+    pub(crate) fn pause_age(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.pause_since)
     }
 
     /// Time until its pause ends, if it is paused.
--- a/src/targets/dispatcher.rs
+++ b/src/targets/dispatcher.rs
@@ -6,40 +6,18 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use rand::Rng;
 
 use crate::model::TargetId;
 
-use super::{Queue, QueuedRequest, Shed, TargetEvent, TargetState, target_chart};
+use super::notices::{NoticeInForce, NoticeReport, TargetNotices};
+use super::tracked::{AttemptResult, OwnedTarget, TrackedTarget};
+use super::{Queue, QueuedRequest, Shed, TargetEvent, TargetState};
 
-/// Consecutive failures after which a target is ejected.
-const FAILURE_LIMIT: u32 = 3;
 /// Largest fraction of the targets that may be ejected; beyond it, ejected targets are used, too.
 const EJECTED_RATIO_MAX: f64 = 0.5;
-/// Time from the first successful probe of a cold target until all its slots may be used.
-const WARM_UP_TIME: Duration = Duration::from_secs(5);
-/// Time for which a load report is used.
-const REPORT_TTL: Duration = Duration::from_secs(3);
-/// Weight of the newest sample in the moving average of the latency.
-const LATENCY_GAIN: f64 = 0.2;
-
-/// A target that this entry VM owns.
-#[derive(Clone, Debug, PartialEq)]
-pub struct OwnedTarget {
-    /// Its id.
-    pub id: TargetId,
-    /// Its address.
-    pub addr: SocketAddr,
-    /// Requests that it runs concurrently.
-    pub slots: u32,
-    /// True if it gets no new requests.
-    pub leaving: bool,
-    /// When this VM first saw it on the platform's list. Its caches count as warm once the warm-up
-    /// time has passed since then.
-    pub first_seen: Instant,
-}
 
 /// Limits from the service's document.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -70,47 +48,6 @@
     Refuse(u64),
 }
 
-/// How a request at a target ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum AttemptResult {
-    /// With a complete response after this time.
-    Answered(Duration),
-    /// The target refused it, since it was overloaded.
-    Shed,
-    /// Without a complete response.
-    Failed,
-    /// The target's process ended.
-    Died,
-    /// It was cancelled before it ended.
-    GivenUp,
-}
-
-/// A load report of a target, from a probe.
-#[derive(Clone, Copy, Debug, PartialEq)]
-struct Report {
-    received: Instant,
-    /// Reported requests beyond those of this VM.
-    others: u32,
-}
-
-#[derive(Clone, Debug)]
-struct TrackedTarget {
-    target: OwnedTarget,
-    state: TargetState,
-    /// When the current state began.
-    state_since: Instant,
-    /// Requests of this VM that run there. Reports do not change this count.
-    busy: u32,
-    /// Consecutive failures of requests and probes.
-    failures: u32,
-    /// Moving average of the latency, in seconds.
-    latency: f64,
-    report: Option<Report>,
-    /// True once its process has ended or restarted under this VM: `first_seen` then no longer says
-    /// whether its caches are warm.
-    cold: bool,
-}
-
 /// The targets of one service at their egress VM.
 ///
 /// No target ever has more requests of this VM than slots, and foreign requests (from other
@@ -119,13 +56,19 @@
 pub struct Dispatcher {
     limits: DispatchLimits,
     targets: BTreeMap<TargetId, TrackedTarget>,
+    notices: TargetNotices,
     queue: Queue,
 }
 
 impl Dispatcher {
     /// A dispatcher without targets.
     pub fn new(limits: DispatchLimits) -> Self {
-        Self { limits, targets: BTreeMap::new(), queue: Queue::default() }
+        Self {
+            limits,
+            targets: BTreeMap::new(),
+            notices: TargetNotices::default(),
+            queue: Queue::default(),
+        }
     }
 
     /// Changes the limits.
@@ -139,9 +82,11 @@
         let before = self.targets.len();
         for tracked in self.targets.values_mut() {
             if !owned.iter().any(|o| o.id == tracked.target.id) {
+                tracked.target.leaving = true;
                 tracked.apply(now, TargetEvent::Leave);
             }
         }
+        self.notices.forget_old(now, owned);
         self.targets.retain(|id, t| t.busy > 0 || owned.iter().any(|o| &o.id == id));
         let kept = self.targets.len().min(before);
         for target in owned {
@@ -153,8 +98,7 @@
                 tracked.apply(now, TargetEvent::Died);
             }
             tracked.target = target.clone();
-            let event = if target.leaving { TargetEvent::Leave } else { TargetEvent::Return };
-            tracked.apply(now, event);
+            tracked.apply_words(now, &self.notices);
         }
         self.targets.len() > kept
     }
@@ -215,6 +159,9 @@
         if let Some(tracked) = self.targets.get_mut(target) {
             tracked.finish(now, result);
         }
+        if result == AttemptResult::Died {
+            self.end_incarnation(now, target);
+        }
         self.decide(now, rng)
     }
 
@@ -246,15 +193,52 @@
         if let Some(tracked) = self.targets.get_mut(target) {
             tracked.apply(now, TargetEvent::Died);
         }
+        self.end_incarnation(now, target);
         self.decide(now, rng)
     }
 
-    /// Ends warm-ups and refuses requests whose deadline has passed. To be called regularly.
+    /// Records what a target says of itself in a response that is known to be its own.
+    pub fn record_notice(
+        &mut self,
+        now: Instant,
+        report: &NoticeReport<'_>,
+        rng: &mut impl Rng,
+    ) -> Vec<SlotDecision> {
+        let tracked = self.targets.get_mut(report.target);
+        let born_ms = tracked.as_ref().and_then(|t| t.started_ms()).unwrap_or(0);
+        self.notices.record(now, report, born_ms, rng.random());
+        if let Some(tracked) = tracked {
+            tracked.apply_words(now, &self.notices);
+        }
+        self.decide(now, rng)
+    }
+
+    /// Records when a target's process started, as its probe says. The notices of an earlier process
+    /// are dropped.
+    pub fn record_start(&mut self, now: Instant, target: &TargetId, started_ms: u64) {
+        let Some(tracked) = self.targets.get_mut(target) else { return };
+        tracked.record_start(now, started_ms);
+        self.notices.start_incarnation(&tracked.target, started_ms);
+        tracked.apply_words(now, &self.notices);
+    }
+
+    /// What a target has said of itself, if that is in force.
+    pub fn notice_of(&self, now: Instant, target: &TargetId) -> Option<NoticeInForce> {
+        let tracked = self.targets.get(target)?;
+        self.notices.get(&tracked.target)?.in_force(now)
+    }
+
+    fn end_incarnation(&mut self, now: Instant, target: &TargetId) {
+        let Some(tracked) = self.targets.get_mut(target) else { return };
+        self.notices.clear(&tracked.target);
+        tracked.apply_words(now, &self.notices);
+    }
+
+    /// Ends warm-ups and pauses, and refuses requests whose deadline has passed. To be called regularly.
     pub fn tick(&mut self, now: Instant, rng: &mut impl Rng) -> Vec<SlotDecision> {
         for tracked in self.targets.values_mut() {
-            if tracked.state == TargetState::Warming && now >= tracked.state_since + WARM_UP_TIME {
-                tracked.apply(now, TargetEvent::Warm);
-            }
+            tracked.end_warm_up(now);
+            tracked.apply_words(now, &self.notices);
         }
         self.decide(now, rng)
     }
@@ -332,83 +316,3 @@
         self.avoid.iter().any(|a| a == target.as_str())
     }
 }
-
-impl TrackedTarget {
-    fn new(now: Instant, target: &OwnedTarget) -> Self {
-        Self {
-            target: target.clone(),
-            state: target_chart().initial(),
-            state_since: now,
-            busy: 0,
-            failures: 0,
-            latency: 0.0,
-            report: None,
-            cold: false,
-        }
-    }
-
-    fn apply(&mut self, now: Instant, event: TargetEvent) {
-        self.cold |= event == TargetEvent::Died;
-        let next = target_chart().next(self.state, event);
-        if next != self.state {
-            log::info!("target: {} is {next:?}.", self.target.id);
-            self.state = next;
-            self.state_since = now;
-            self.failures = 0;
-        }
-    }
-
-    /// Slots that may be used now. This VM's own count takes precedence over a load report: the
-    /// report lowers the slots at most by half, since a target that reports too high a load would
-    /// otherwise get no requests at all.
-    fn usable_slots(&self, now: Instant) -> u32 {
-        let slots = match self.state {
-            TargetState::Warming => {
-                let fraction = (now - self.state_since).as_secs_f64() / WARM_UP_TIME.as_secs_f64();
-                ((f64::from(self.target.slots) * fraction.min(1.0)) as u32).max(1)
-            }
-            _ => self.target.slots,
-        };
-        let fresh = self.report.filter(|r| now < r.received + REPORT_TTL);
-        let free_of_others = slots.saturating_sub(fresh.map_or(0, |r| r.others));
-        free_of_others.max(slots.div_ceil(2))
-    }
-
-    /// The cost of one more request; lower is better. It is the fraction of slots in use plus the
-    /// average latency in seconds, of which at most 1 counts.
-    fn cost(&self, now: Instant) -> f64 {
-        f64::from(self.busy) / f64::from(self.usable_slots(now).max(1)) + self.latency.min(1.0)
-    }
-
-    fn finish(&mut self, now: Instant, result: AttemptResult) {
-        self.busy = self.busy.saturating_sub(1);
-        match result {
-            AttemptResult::Answered(latency) => {
-                self.failures = 0;
-                let latency = latency.as_secs_f64();
-                self.latency += (latency - self.latency) * LATENCY_GAIN;
-            }
-            AttemptResult::Shed | AttemptResult::GivenUp => {}
-            AttemptResult::Failed => self.record_failure(now),
-            AttemptResult::Died => self.apply(now, TargetEvent::Died),
-        }
-    }
-
-    fn record_failure(&mut self, now: Instant) {
-        self.failures += 1;
-        if self.failures >= FAILURE_LIMIT {
-            self.apply(now, TargetEvent::Failing);
-        }
-    }
-
-    fn record_probe(&mut self, now: Instant, running: u32) {
-        self.failures = 0;
-        self.apply(now, TargetEvent::ProbeOk);
-        // A target that has been on the platform's list for longer than the warm-up time was warmed
-        // by its previous owner, unless its process has ended since.
-        if !self.cold && now >= self.target.first_seen + WARM_UP_TIME {
-            self.apply(now, TargetEvent::Warm);
-        }
-        self.report = Some(Report { received: now, others: running.saturating_sub(self.busy) });
-    }
-}
--- a/src/targets/life.rs
+++ b/src/targets/life.rs
@@ -13,7 +13,8 @@
 #[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum TargetState {
-    /// No probe has succeeded since it was added, its process ended, or it returned from leaving.
+    /// No probe has succeeded since it was added, its process ended, or it returned from leaving or
+    /// from a pause.
     Unproved,
     /// It serves with a fraction of its slots, since its caches are cold.
     Warming,
@@ -21,6 +22,8 @@
     Serving,
     /// It failed several times in a row and gets no requests until a probe succeeds.
     Ejected,
+    /// It has asked for a pause and gets neither requests nor probes until that is over.
+    Paused,
     /// It gets no new requests; running ones may finish.
     Leaving,
 }
@@ -38,7 +41,12 @@
     Failing,
     /// Its process has ended or was replaced.
     Died,
-    /// It is drained, no longer owned, or will be stopped by the platform soon.
+    /// It has asked for a pause.
+    Pause,
+    /// The pause is over.
+    Resume,
+    /// It is drained, no longer owned, will be stopped by the platform soon, or has said that it
+    /// leaves.
     Leave,
     /// The reason to leave no longer holds.
     Return,
--- a/src/targets/mod.rs
+++ b/src/targets/mod.rs
@@ -4,11 +4,13 @@
 mod crashes;
 mod dispatcher;
 mod life;
+mod notices;
 mod queue;
+mod tracked;
 
 pub use crashes::{CrashReport, CrashTracker, Quarantine};
-pub use dispatcher::{
-    AssignedSlot, AttemptResult, DispatchLimits, Dispatcher, OwnedTarget, SlotDecision,
-};
+pub use dispatcher::{AssignedSlot, DispatchLimits, Dispatcher, SlotDecision};
 pub use life::{TargetEvent, TargetState, target_chart};
+pub use notices::{NoticeInForce, NoticeReport};
 pub use queue::{Queue, QueuedRequest, Shed};
+pub use tracked::{AttemptResult, OwnedTarget};
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -359,6 +359,14 @@
         String::from_utf8_lossy(response.body()).parse().expect("a number")
     }
 
+    /// Number of requests that a target has shed.
+    pub async fn shed(&self, number: usize) -> u64 {
+        let uri = format!("http://{}/shed", self.targets[number].proc.addr("faults"));
+        let request = Request::get(uri).body(Bytes::new()).expect("a request");
+        let response = self.client.send_unpooled(request, TEST_TIMEOUT).await.expect("read it");
+        String::from_utf8_lossy(response.body()).parse().expect("a number")
+    }
+
     /// The requests that all targets have run.
     pub async fn all_runs(&self) -> Vec<ExecutedRequest> {
         let mut runs = Vec::new();
--- /dev/null
+++ b/tests/dispatch_notices.rs
@@ -0,0 +1,243 @@
+//! The dispatcher obeys what targets say of themselves.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use shallotstall::model::TargetId;
+use shallotstall::steer::TargetNotice;
+use shallotstall::targets::{
+    AttemptResult, DispatchLimits, Dispatcher, NoticeInForce, NoticeReport, OwnedTarget,
+    QueuedRequest, SlotDecision,
+};
+
+const SLOTS: u32 = 10;
+const LIMITS: DispatchLimits = DispatchLimits { headroom: 0.0, queue: 100 };
+const LEAVING: TargetNotice = TargetNotice { leaving: true, pause: None };
+/// When the notices of these tests are said, in milliseconds since the Unix epoch.
+const SAID_MS: u64 = 5_000;
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn pause(n: u64) -> TargetNotice {
+    TargetNotice { leaving: false, pause: Some(ms(n)) }
+}
+
+/// A dispatcher with targets, at a time of the test's own.
+struct Bench {
+    dispatcher: Dispatcher,
+    owned: Vec<OwnedTarget>,
+    now: Instant,
+    rng: SmallRng,
+    next_ticket: u64,
+}
+
+impl Bench {
+    /// Targets `t0`, `t1` and so on, which all serve with all their slots.
+    fn new(count: u16) -> Self {
+        let now = Instant::now();
+        let owned = |n: u16| OwnedTarget {
+            id: TargetId::new(format!("t{n}")),
+            addr: ([127, 0, 0, 1], 9_000 + n).into(),
+            slots: SLOTS,
+            leaving: false,
+            first_seen: now,
+        };
+        let mut bench = Self {
+            dispatcher: Dispatcher::new(LIMITS),
+            owned: (0..count).map(owned).collect(),
+            now: now + ms(60_000),
+            rng: SmallRng::seed_from_u64(7),
+            next_ticket: 0,
+        };
+        bench.sync();
+        (0..count as usize).for_each(|n| bench.probe(n));
+        bench
+    }
+
+    fn sync(&mut self) {
+        self.dispatcher.sync(self.now, &self.owned);
+    }
+
+    fn probe(&mut self, number: usize) {
+        let id = &self.owned[number].id;
+        self.dispatcher.record_probe(self.now, id, Some(0), &mut self.rng);
+    }
+
+    fn advance(&mut self, by: Duration) {
+        self.now += by;
+        self.dispatcher.tick(self.now, &mut self.rng);
+    }
+
+    fn say_from(&mut self, number: usize, addr: SocketAddr, notice: TargetNotice) {
+        let target = &self.owned[number].id;
+        let report = NoticeReport { target, addr, notice, said_ms: SAID_MS };
+        self.dispatcher.record_notice(self.now, &report, &mut self.rng);
+    }
+
+    fn say(&mut self, number: usize, notice: TargetNotice) {
+        self.say_from(number, self.owned[number].addr, notice);
+    }
+
+    fn notice(&self, number: usize) -> Option<NoticeInForce> {
+        self.dispatcher.notice_of(self.now, &self.owned[number].id)
+    }
+
+    /// Sends as many requests as there is room for, ends them, and returns how many were at once at a
+    /// target.
+    fn started(&mut self, number: usize) -> usize {
+        let mut started = Vec::new();
+        loop {
+            self.next_ticket += 1;
+            let request = QueuedRequest {
+                ticket: self.next_ticket,
+                customer: "c".into(),
+                weight: 1,
+                deadline: self.now + ms(1_000),
+                foreign: false,
+                avoid: Vec::new(),
+            };
+            let decisions = self.dispatcher.admit(self.now, request, &mut self.rng);
+            let Some(SlotDecision::Start(slot)) = decisions.first() else { break };
+            started.push(slot.target.clone());
+        }
+        self.dispatcher.cancel(self.next_ticket);
+        for target in &started {
+            let answered = AttemptResult::Answered(ms(1));
+            self.dispatcher.finish(self.now, target, answered, &mut self.rng);
+        }
+        started.iter().filter(|t| **t == self.owned[number].id).count()
+    }
+}
+
+#[test]
+fn a_leaving_target_gets_nothing_more_whatever_the_list_says() {
+    let mut bench = Bench::new(2);
+    assert_eq!(bench.started(0), SLOTS as usize);
+    bench.say(0, LEAVING);
+    for _ in 0..100 {
+        bench.advance(ms(500));
+        bench.sync();
+        bench.probe(0);
+        assert_eq!(bench.started(0), 0);
+    }
+    assert_eq!(bench.started(1), SLOTS as usize, "the other one serves");
+    assert_eq!(bench.notice(0), Some(NoticeInForce::Leaving { age: ms(50_000) }));
+}
+
+/// Guards against a notice that is lost when the ownership moves away and comes back.
+#[test]
+fn a_notice_outlives_the_ownership() {
+    for notice in [LEAVING, pause(30_000)] {
+        let mut bench = Bench::new(2);
+        bench.say(0, notice);
+        let owned = bench.owned.clone();
+        bench.owned.remove(0);
+        bench.sync();
+        bench.advance(ms(5_000));
+        bench.owned = owned;
+        bench.sync();
+        bench.probe(0);
+        assert_eq!(bench.started(0), 0, "{notice:?}");
+    }
+}
+
+/// Guards against a target that is out for good because an earlier one at its address has left.
+#[test]
+fn a_notice_ends_with_the_process_that_gave_it() {
+    type Restart = fn(&mut Bench);
+    let restarts: [(&str, Restart); 4] = [
+        ("its port refuses connections", |b| {
+            let id = b.owned[0].id.clone();
+            b.dispatcher.record_crash(b.now, &id, &mut b.rng);
+        }),
+        ("a request finds that it has ended", |b| {
+            let id = b.owned[0].id.clone();
+            b.dispatcher.finish(b.now, &id, AttemptResult::Died, &mut b.rng);
+        }),
+        ("it has another address", |b| {
+            b.owned[0].addr.set_port(9_100);
+            b.sync();
+        }),
+        ("its probe names a later start", |b| {
+            let id = b.owned[0].id.clone();
+            b.dispatcher.record_start(b.now, &id, SAID_MS + 1);
+        }),
+    ];
+    for (name, restart) in restarts {
+        for notice in [LEAVING, pause(30_000)] {
+            let mut bench = Bench::new(2);
+            let id = bench.owned[0].id.clone();
+            bench.dispatcher.record_start(bench.now, &id, SAID_MS - 100);
+            bench.say(0, notice);
+            bench.dispatcher.record_start(bench.now, &id, SAID_MS - 100);
+            assert_eq!(bench.started(0), 0, "the same process");
+            restart(&mut bench);
+            assert_eq!(bench.notice(0), None, "{name}");
+            assert_eq!(bench.started(0), 0, "{name}: no probe has succeeded yet");
+            bench.probe(0);
+            assert_eq!(bench.started(0), 1, "{name}: it is cold");
+        }
+    }
+}
+
+/// A response of the process at an earlier address says nothing of the one at the new address.
+#[test]
+fn a_late_notice_from_an_earlier_address_is_not_taken_for_the_new_process() {
+    let mut bench = Bench::new(1);
+    let earlier = bench.owned[0].addr;
+    bench.owned[0].addr.set_port(9_100);
+    bench.sync();
+    bench.probe(0);
+    bench.say_from(0, earlier, LEAVING);
+    assert_eq!(bench.notice(0), None);
+    assert!(bench.started(0) > 0);
+}
+
+#[test]
+fn a_paused_target_gets_nothing_until_the_pause_is_over_and_returns_gradually() {
+    let mut bench = Bench::new(2);
+    bench.say(0, pause(2_000));
+    // A probe that was under way does not end the pause.
+    bench.probe(0);
+    for _ in 0..4 {
+        assert_eq!(bench.started(0), 0);
+        bench.advance(ms(499));
+        bench.sync();
+    }
+    assert!(matches!(bench.notice(0), Some(NoticeInForce::Paused { age, left })
+        if age == ms(1_996) && left >= ms(4)));
+    // Longer by a random part of it, a tenth at most.
+    bench.advance(ms(204));
+    assert_eq!(bench.notice(0), None);
+    assert_eq!(bench.started(0), 0, "no probe has succeeded yet");
+    bench.probe(0);
+    let mut slots = Vec::new();
+    for _ in 0..6 {
+        slots.push(bench.started(0));
+        bench.advance(ms(1_000));
+        bench.probe(0);
+    }
+    assert_eq!(slots, [1, 2, 4, 6, 8, 10]);
+}
+
+/// Guards against a paused target that gets requests as the last resort.
+#[test]
+fn paused_targets_are_no_last_resort() {
+    let mut bench = Bench::new(3);
+    (0..3).for_each(|n| bench.say(n, pause(2_000)));
+    assert_eq!((0..3).map(|n| bench.started(n)).sum::<usize>(), 0);
+    assert_eq!(bench.dispatcher.load(bench.now).0, 0, "no slots are reported to peers");
+}
+
+#[test]
+fn a_shorter_pause_does_not_end_a_longer_one() {
+    let mut bench = Bench::new(1);
+    bench.say(0, pause(5_000));
+    bench.say(0, pause(100));
+    bench.advance(ms(4_900));
+    assert!(bench.notice(0).is_some());
+}
--- /dev/null
+++ b/tests/notices.rs
@@ -0,0 +1,119 @@
+//! The daemon obeys what targets say of themselves, also while the store is down. Real processes.
+
+mod common;
+
+use common::{Call, Fleet, desk_document, standin};
+use shallotstall::standin::{StoreFaults, StoreMode, TargetFaults};
+
+const VMS: [&str; 2] = ["n1-a", "n1-b"];
+const TARGETS: usize = 3;
+/// Requests of one round, sent one after the other.
+const ROUND: usize = 60;
+
+fn faults() -> TargetFaults {
+    TargetFaults { work_ms: 2, ..TargetFaults::default() }
+}
+
+fn leaving() -> TargetFaults {
+    TargetFaults { leaving: true, ..faults() }
+}
+
+fn pausing(seconds: &str) -> TargetFaults {
+    TargetFaults { pause: seconds.to_owned(), ..faults() }
+}
+
+/// Starts a fleet whose targets all serve, and stops its store.
+async fn fleet_without_store() -> (Fleet, String) {
+    let mut fleet = Fleet::new(&[("desk", "n1", 8); TARGETS]).await;
+    fleet.start_vms(&VMS).await;
+    fleet.apply("n1-a", "desk", &desk_document(&["n1"], 2_000.0, 2_000)).await;
+    let key = fleet.issue("n1-a", "a").await;
+    for vm in VMS {
+        fleet.await_response(vm, "/desk/read", &key, 200).await;
+    }
+    await_serving(&fleet, TARGETS).await;
+    let down = StoreFaults { mode: StoreMode::Down, ..StoreFaults::default() };
+    fleet.store_faults(&down).await;
+    (fleet, key)
+}
+
+async fn await_serving(fleet: &Fleet, count: usize) {
+    fleet
+        .eventually("targets serve with all their slots", async || {
+            let mut serving = 0;
+            for vm in VMS {
+                let status = fleet.status(vm).await;
+                let targets = status["targets"].as_object().cloned().unwrap_or_default();
+                let ready = |t: &serde_json::Value| t.as_str().unwrap_or("").starts_with("Serving");
+                serving += targets.values().filter(|t| ready(t)).count();
+            }
+            serving == count
+        })
+        .await;
+}
+
+/// Sends a round of requests through both VMs. Returns the statuses other than 200.
+async fn send_round(fleet: &Fleet, key: &str) -> Vec<u16> {
+    let mut others = Vec::new();
+    for number in 0..ROUND {
+        let vm = VMS[number % VMS.len()];
+        let response = fleet.send(vm, Call::get("/desk/read").key(key)).await;
+        let status = response.expect("a response").status;
+        others.extend((status != 200).then_some(status));
+    }
+    others
+}
+
+/// A release with the store down: the targets' own words are the only ones.
+#[tokio::test]
+async fn a_target_that_says_that_it_leaves_gets_no_requests_from_then_on() {
+    let (mut fleet, key) = fleet_without_store().await;
+    let mut late = Vec::new();
+    for number in 0..TARGETS - 1 {
+        fleet.target_faults(number, &leaving()).await;
+        let before = fleet.runs(number).await.len();
+        assert_eq!(send_round(&fleet, &key).await, Vec::<u16>::new());
+        late.push(fleet.runs(number).await.len() - before);
+    }
+    println!("requests at targets that had said that they leave: {late:?} of {ROUND} each");
+    // The first response carries the word, unless that of a probe did.
+    assert!(late.iter().all(|l| *l <= 1), "{late:?} of {ROUND}");
+
+    // Another process at the address starts clean.
+    let addr = fleet.targets[0].proc.addr("addr").to_string();
+    fleet.targets[0].proc.kill();
+    fleet.targets[0].proc =
+        standin(&["target", "--listen", &addr, "--slots", "8", "--work-ms", "2"]);
+    fleet
+        .eventually("the new process gets requests", async || {
+            send_round(&fleet, &key).await;
+            !fleet.runs(0).await.is_empty()
+        })
+        .await;
+}
+
+#[tokio::test]
+async fn a_target_that_asks_for_a_pause_gets_no_requests_until_it_is_over() {
+    let (fleet, key) = fleet_without_store().await;
+    fleet.target_faults(0, &pausing("120")).await;
+    // A full window is under way when the first 503 comes.
+    let burst = (0..16).map(|n| fleet.send(VMS[n % 2], Call::get("/desk/read").key(&key)));
+    futures_util::future::join_all(burst).await;
+    // At least one of these finds out, if none of the burst has.
+    send_round(&fleet, &key).await;
+    let before = fleet.shed(0).await;
+    assert!(before >= 1);
+    assert_eq!(send_round(&fleet, &key).await, Vec::<u16>::new());
+    let late = fleet.shed(0).await - before;
+    println!("requests at a target in its pause: {late} of {ROUND}");
+    assert_eq!(late, 0, "of {ROUND}");
+
+    // A value that makes no sense is no pause.
+    fleet.target_faults(1, &pausing("soon")).await;
+    fleet
+        .eventually("the target gets more requests", async || {
+            send_round(&fleet, &key).await;
+            fleet.shed(1).await > 3
+        })
+        .await;
+}
