--- /dev/null
+++ b/src/net/connection.rs
@@ -0,0 +1,104 @@
+//! One connection of a server.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use gotham::helpers::http::Body;
+use http::header::CONNECTION;
+use http::{HeaderValue, Request, Response};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::server::graceful::Watcher;
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::net::TcpStream;
+use tokio_rustls::TlsAcceptor;
+
+use super::respond::{self, Respond};
+
+/// Default limit of a request line with its headers, in bytes.
+const DEFAULT_MAX_HEADER_BYTES: usize = 400 << 10;
+/// Smallest buffer limit that `hyper` accepts, in bytes; it panics on a smaller one.
+const MIN_BUFFER_BYTES: usize = 8 << 10;
+/// Default time limit for receiving a request line with its headers.
+const DEFAULT_HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Limits of one connection.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectionLimits {
+    /// Time limit for receiving a request line with its headers. It also limits the time
+    /// between requests.
+    pub header_timeout: Duration,
+    /// Largest request line with its headers, in bytes, but at least `MIN_BUFFER_BYTES`.
+    pub max_header_bytes: usize,
+}
+
+impl Default for ConnectionLimits {
+    fn default() -> Self {
+        Self { header_timeout: DEFAULT_HEADER_TIMEOUT, max_header_bytes: DEFAULT_MAX_HEADER_BYTES }
+    }
+}
+
+/// What all connections of a server share.
+pub(super) struct ServerState {
+    pub(super) responder: Arc<dyn Respond>,
+    pub(super) tls: Option<TlsAcceptor>,
+    /// True once every response has `Connection: close`.
+    pub(super) closing: Arc<AtomicBool>,
+    pub(super) limits: ConnectionLimits,
+}
+
+/// Serves the requests of the client at `from` until the connection ends.
+pub(super) async fn serve(
+    stream: TcpStream,
+    from: SocketAddr,
+    state: Arc<ServerState>,
+    watcher: Watcher,
+) {
+    let _ = stream.set_nodelay(true);
+    let Some(tls) = state.tls.clone() else {
+        return serve_requests(stream, from, state, watcher).await;
+    };
+    match tls.accept(stream).await {
+        Ok(stream) => serve_requests(stream, from, state, watcher).await,
+        Err(e) => log::debug!("http: TLS handshake with {from} failed: {e}."),
+    }
+}
+
+async fn serve_requests(
+    stream: impl AsyncRead + AsyncWrite + Send + Unpin + 'static,
+    from: SocketAddr,
+    state: Arc<ServerState>,
+    watcher: Watcher,
+) {
+    let builder = http_builder(&state.limits);
+    let service = service_fn(move |request| handle(request, from, state.clone()));
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    if let Err(e) = watcher.watch(connection).await {
+        log::debug!("http: connection from {from} failed: {e}.");
+    }
+}
+
+fn http_builder(limits: &ConnectionLimits) -> http1::Builder {
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.header_timeout)
+        .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES));
+    builder
+}
+
+async fn handle(
+    request: Request<Incoming>,
+    from: SocketAddr,
+    state: Arc<ServerState>,
+) -> anyhow::Result<Response<Body>> {
+    let mut response = respond::dispatch(request, from, state.responder.clone()).await?;
+    if state.closing.load(Ordering::Relaxed) {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(response)
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,15 +2,19 @@
 //! stand-ins and the command line.
 
 mod client;
+mod connection;
 mod headers;
 mod port;
+mod respond;
+mod response;
 mod serve;
 mod tls;
 
 pub use client::{HttpClient, HttpError};
+pub use connection::ConnectionLimits;
 pub(crate) use headers::{connection_options, header_text, is_hop_by_hop};
 pub use port::{PortState, check_port};
-pub use serve::{
-    ConnectionLimits, Respond, Server, bytes_response, full_body, json_response, text_response,
-};
+pub use respond::Respond;
+pub use response::{bytes_response, full_body, json_response, text_response};
+pub use serve::Server;
 pub use tls::tls_acceptor;
