Net: close connections lingering, so that unread bytes destroy no response

Callers saw: an upload that was answered early (401, 413, 429, 503) broke with a broken pipe or a reset, and a long response ended in its middle if the caller had sent a further request.

Cause: hyper shuts the socket down and drops it. A socket that is closed with unread bytes sends a reset at once, and drops what it has not yet sent.

Evidence (tests/server_linger.rs, real sockets, plain and TLS), on the code before: an_early_response_reaches_a_caller_that_reads_after_it_has_sent: broken pipe while the caller sent 2 MB in parts; the same over TLS; a_long_response_is_whole_though_the_caller_has_sent_more: reset after 128000 of 3145728 bytes. All pass now. The two bounds (a caller that never stops sending, one that keeps its end open) are tested, too; these passed before.

A connection whose response failed midway is dropped as before, so that a cut response never looks complete. The wait for open connections uses the stop's channel instead of GracefulShutdown, which takes the connection and so leaves no socket to read from.

--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -1,6 +1,7 @@
 //! One connection of a server.
 
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -12,11 +13,12 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::server::graceful::Watcher;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio_rustls::TlsAcceptor;
 
+use super::linger;
 use super::respond::{self, Respond};
 
 /// Default limit of a request line with its headers, in bytes.
@@ -56,14 +58,14 @@
     stream: TcpStream,
     from: SocketAddr,
     state: Arc<ServerState>,
-    watcher: Watcher,
+    stop: watch::Receiver<bool>,
 ) {
     let _ = stream.set_nodelay(true);
     let Some(tls) = state.tls.clone() else {
-        return serve_requests(stream, from, state, watcher).await;
+        return serve_requests(stream, from, state, stop).await;
     };
     match tls.accept(stream).await {
-        Ok(stream) => serve_requests(stream, from, state, watcher).await,
+        Ok(stream) => serve_requests(stream, from, state, stop).await,
         Err(e) => log::debug!("http: TLS handshake with {from} failed: {e}."),
     }
 }
@@ -72,14 +74,39 @@
     stream: impl AsyncRead + AsyncWrite + Send + Unpin + 'static,
     from: SocketAddr,
     state: Arc<ServerState>,
-    watcher: Watcher,
+    mut stop: watch::Receiver<bool>,
 ) {
     let builder = http_builder(&state.limits);
     let service = service_fn(move |request| handle(request, from, state.clone()));
-    let connection = builder.serve_connection(TokioIo::new(stream), service);
-    if let Err(e) = watcher.watch(connection).await {
+    let mut connection = builder.serve_connection(TokioIo::new(stream), service);
+    let ended = tokio::select! {
+        outcome = &mut connection => Some(outcome),
+        () = stopped(&mut stop) => None,
+    };
+    let outcome = match ended {
+        Some(outcome) => outcome,
+        None => {
+            Pin::new(&mut connection).graceful_shutdown();
+            (&mut connection).await
+        }
+    };
+    if let Err(e) = &outcome {
         log::debug!("http: connection from {from} failed: {e}.");
     }
+    if may_have_responded(&outcome) {
+        linger::close(connection.into_parts().io.into_inner()).await;
+    }
+}
+
+/// Returns when the server stops, or has been dropped.
+async fn stopped(stop: &mut watch::Receiver<bool>) {
+    let _ = stop.wait_for(|stop| *stop).await;
+}
+
+/// True unless the connection failed in a way that leaves its last response incomplete. `hyper` answers
+/// a request that it can't parse.
+fn may_have_responded(outcome: &hyper::Result<()>) -> bool {
+    outcome.as_ref().map_or_else(hyper::Error::is_parse, |()| true)
 }
 
 fn http_builder(limits: &ConnectionLimits) -> http1::Builder {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,6 +4,7 @@
 mod client;
 mod connection;
 mod headers;
+mod linger;
 mod port;
 mod respond;
 mod response;
--- a/src/net/serve.rs
+++ b/src/net/serve.rs
@@ -6,7 +6,6 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use hyper_util::server::graceful::GracefulShutdown;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio_rustls::TlsAcceptor;
@@ -68,6 +67,8 @@
         // Sending fails only if the accept loop has already ended.
         let _ = self.stop.send(true);
         let _ = self.task.await;
+        // Every connection holds a receiver until it has ended.
+        self.stop.closed().await;
     }
 }
 
@@ -76,7 +77,6 @@
     state: Arc<ServerState>,
     mut stopped: watch::Receiver<bool>,
 ) {
-    let graceful = GracefulShutdown::new();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -84,7 +84,7 @@
         };
         match accepted {
             Ok((stream, from)) => {
-                let served = connection::serve(stream, from, state.clone(), graceful.watcher());
+                let served = connection::serve(stream, from, state.clone(), stopped.clone());
                 tokio::spawn(served);
             }
             Err(e) => {
@@ -93,6 +93,4 @@
             }
         }
     }
-    drop(listener);
-    graceful.shutdown().await;
 }
