Net: a stopping server gives open connections time to send a request

Callers saw: a connection that ended without an answer although they had sent a whole request, if they sent it just after the server had stopped accepting, on a new or on a kept connection. No target ran it, but the caller of a request that is not idempotent can't know that.

Cause: hyper's graceful_shutdown closes a connection at once that has not received its first byte, or that is idle between two requests, even if a request is in its socket buffer or on its way.

Evidence (tests/server_stop.rs, real sockets), on the code before: a new connection, a kept one and one whose head was half sent got an end of file or a broken pipe, 3 of 3. All are answered now, with Connection: close.

A connection records when bytes pass and whether a request is being answered. It is closed without lingering: nothing has been sent lately that a reset could destroy. A server that is dropped still closes idle connections at once.

--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -16,10 +16,13 @@
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
+use tokio::time::Instant;
 use tokio_rustls::TlsAcceptor;
 
 use super::linger;
+use super::progress::{REQUEST_WAIT, RequestGuard, SharedProgress};
 use super::respond::{self, Respond};
+use super::tracked::{TrackedStream, track_response};
 
 /// Default limit of a request line with its headers, in bytes.
 const DEFAULT_MAX_HEADER_BYTES: usize = 400 << 10;
@@ -77,11 +80,16 @@
     mut stop: watch::Receiver<bool>,
 ) {
     let builder = http_builder(&state.limits);
-    let service = service_fn(move |request| handle(request, from, state.clone()));
-    let mut connection = builder.serve_connection(TokioIo::new(stream), service);
+    let progress = SharedProgress::new(Instant::now());
+    let stream = TokioIo::new(TrackedStream::new(stream, progress.clone()));
+    let requests = progress.clone();
+    let service =
+        service_fn(move |request| handle(request, from, state.clone(), requests.start_request()));
+    let mut connection = builder.serve_connection(stream, service);
     let ended = tokio::select! {
+        biased;
         outcome = &mut connection => Some(outcome),
-        () = stopped(&mut stop) => None,
+        () = idle_after_stop(&mut stop, &progress) => None,
     };
     let outcome = match ended {
         Some(outcome) => outcome,
@@ -93,14 +101,30 @@
     if let Err(e) = &outcome {
         log::debug!("http: connection from {from} failed: {e}.");
     }
-    if may_have_responded(&outcome) {
-        linger::close(connection.into_parts().io.into_inner()).await;
+    let quiet = progress.lock().is_quiet(Instant::now());
+    if may_have_responded(&outcome) && !quiet {
+        linger::close(connection.into_parts().io.into_inner().into_inner()).await;
     }
 }
 
-/// Returns when the server stops, or has been dropped.
-async fn stopped(stop: &mut watch::Receiver<bool>) {
-    let _ = stop.wait_for(|stop| *stop).await;
+/// Returns when the server has stopped and the connection is idle: its client has had time to send a
+/// request, and none is being answered. If the server has been dropped, returns at once.
+async fn idle_after_stop(stop: &mut watch::Receiver<bool>, progress: &SharedProgress) {
+    if stop.wait_for(|stop| *stop).await.is_err() {
+        return;
+    }
+    let stopped = Instant::now();
+    loop {
+        let close_at = progress.lock().close_at(stopped);
+        let check_at = close_at.unwrap_or_else(|| Instant::now() + REQUEST_WAIT);
+        tokio::time::sleep_until(check_at).await;
+        // Lets the connection read what has come while the process was busy.
+        tokio::task::yield_now().await;
+        let close_at = progress.lock().close_at(stopped);
+        if close_at.is_some_and(|at| at <= Instant::now()) {
+            return;
+        }
+    }
 }
 
 /// True unless the connection failed in a way that leaves its last response incomplete. `hyper` answers
@@ -122,10 +146,11 @@
     request: Request<Incoming>,
     from: SocketAddr,
     state: Arc<ServerState>,
+    guard: RequestGuard,
 ) -> anyhow::Result<Response<Body>> {
     let mut response = respond::dispatch(request, from, state.responder.clone()).await?;
     if state.closing.load(Ordering::Relaxed) {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    Ok(response)
+    Ok(track_response(response, guard))
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,10 +6,12 @@
 mod headers;
 mod linger;
 mod port;
+mod progress;
 mod respond;
 mod response;
 mod serve;
 mod tls;
+mod tracked;
 
 pub use client::{HttpClient, HttpError};
 pub use connection::ConnectionLimits;
--- a/src/net/serve.rs
+++ b/src/net/serve.rs
@@ -61,7 +61,8 @@
         self.closing.store(true, Ordering::Relaxed);
     }
 
-    /// Stops accepting connections and returns when all requests in flight are done.
+    /// Stops accepting connections. A connection without a request gets a short time to send one.
+    /// Returns when all requests in flight are done and all connections are closed.
     pub async fn shutdown(self) {
         self.close_connections();
         // Sending fails only if the accept loop has already ended.
@@ -93,4 +94,5 @@
             }
         }
     }
+    state.closing.store(true, Ordering::Relaxed);
 }
--- /dev/null
+++ b/tests/server_stop.rs
@@ -0,0 +1,148 @@
+//! A server that stops accepting answers what open connections without a request still send.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use shallotstall::net::{Respond, Server, text_response};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// Timeout of every wait, so that a hanging test fails.
+const TEST_TIMEOUT: Duration = Duration::from_secs(60);
+const REQUEST: &[u8] = b"POST /swap HTTP/1.1\r\nHost: zoo.example\r\nContent-Length: 4\r\n\r\nswap";
+
+/// Responds with the request's body.
+struct Echo;
+
+#[async_trait]
+impl Respond for Echo {
+    async fn respond(&self, request: Request<Bytes>, _: SocketAddr) -> Response<Bytes> {
+        let mut response = text_response(StatusCode::OK, "");
+        *response.body_mut() = request.into_body();
+        response
+    }
+}
+
+async fn start() -> Server {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    Server::start(listener, None, Arc::new(Echo)).expect("a server")
+}
+
+/// Reads until the connection ends; an error counts as its end.
+async fn read_to_end(stream: &mut TcpStream) -> String {
+    let mut bytes = Vec::new();
+    let read = tokio::time::timeout(TEST_TIMEOUT, stream.read_to_end(&mut bytes)).await;
+    let end = read.expect("the connection ends");
+    format!("{} ({end:?})", String::from_utf8_lossy(&bytes))
+}
+
+fn is_answered(response: &str) -> bool {
+    response.starts_with("HTTP/1.1 200")
+        && response.contains("connection: close")
+        && response.contains("\r\n\r\nswap (Ok")
+}
+
+/// Starts the shutdown, and returns once the port refuses connections.
+async fn stop_listening(server: Server) -> tokio::task::JoinHandle<()> {
+    let addr = server.addr;
+    let shutdown = tokio::spawn(server.shutdown());
+    let refused = async {
+        while TcpStream::connect(addr).await.is_ok() {
+            tokio::task::yield_now().await;
+        }
+    };
+    tokio::time::timeout(TEST_TIMEOUT, refused).await.expect("the port closes");
+    shutdown
+}
+
+async fn await_end(shutdown: tokio::task::JoinHandle<()>) {
+    tokio::time::timeout(TEST_TIMEOUT, shutdown)
+        .await
+        .expect("the shutdown ends")
+        .expect("no panic");
+}
+
+/// Guards against a connection that is closed unread, because its caller had connected, and not yet
+/// sent its request, when the server stopped accepting.
+#[tokio::test]
+async fn a_new_connection_has_time_to_send_its_request() {
+    let server = start().await;
+    let mut caller = TcpStream::connect(server.addr).await.expect("connect");
+    let shutdown = stop_listening(server).await;
+    caller.write_all(REQUEST).await.expect("send");
+    let response = read_to_end(&mut caller).await;
+    assert!(is_answered(&response), "{response}");
+    await_end(shutdown).await;
+}
+
+/// As above, with a connection that has served a request.
+#[tokio::test]
+async fn a_kept_connection_has_time_to_send_its_next_request() {
+    let server = start().await;
+    let mut caller = TcpStream::connect(server.addr).await.expect("connect");
+    caller.write_all(REQUEST).await.expect("send");
+    let mut first = [0; 1 << 10];
+    let read = tokio::time::timeout(TEST_TIMEOUT, caller.read(&mut first)).await;
+    assert!(read.expect("a response").expect("a response") > 0);
+    let shutdown = stop_listening(server).await;
+    caller.write_all(REQUEST).await.expect("send");
+    let response = read_to_end(&mut caller).await;
+    assert!(is_answered(&response), "{response}");
+    await_end(shutdown).await;
+}
+
+/// Guards against a request that is cut in its head: it has begun, so the server waits for the rest.
+#[tokio::test]
+async fn a_request_that_has_begun_is_answered_however_late_its_rest_comes() {
+    let server = start().await;
+    let mut caller = TcpStream::connect(server.addr).await.expect("connect");
+    let shutdown = stop_listening(server).await;
+    let (begin, rest) = REQUEST.split_at(20);
+    caller.write_all(begin).await.expect("send");
+    // Longer than an idle connection stays open.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    caller.write_all(rest).await.expect("send");
+    let response = read_to_end(&mut caller).await;
+    assert!(is_answered(&response), "{response}");
+    await_end(shutdown).await;
+}
+
+/// Guards against a stop that idle connections hold up: they are closed, and without connections the
+/// stop ends at once.
+#[tokio::test]
+async fn a_stop_closes_idle_connections_and_ends() {
+    let without = start().await;
+    let start_time = Instant::now();
+    await_end(tokio::spawn(without.shutdown())).await;
+    let quick = start_time.elapsed();
+
+    let server = start().await;
+    let mut caller = TcpStream::connect(server.addr).await.expect("connect");
+    let shutdown = stop_listening(server).await;
+    assert_eq!(read_to_end(&mut caller).await, " (Ok(0))");
+    await_end(shutdown).await;
+    // Far above the time for which an idle connection stays open, and below the header timeout.
+    let bound = Duration::from_secs(5);
+    assert!(quick < bound && start_time.elapsed() < 2 * bound);
+}
+
+/// Guards against a stop that waits for the header timeout, because a client has sent bytes that begin
+/// no request, as some do after a body.
+#[tokio::test]
+async fn stray_bytes_on_a_kept_connection_hold_up_no_stop() {
+    let server = start().await;
+    let mut caller = TcpStream::connect(server.addr).await.expect("connect");
+    caller.write_all(REQUEST).await.expect("send");
+    let mut first = [0; 1 << 10];
+    let read = tokio::time::timeout(TEST_TIMEOUT, caller.read(&mut first)).await;
+    assert!(read.expect("a response").expect("a response") > 0);
+    caller.write_all(b"\r\n").await.expect("send");
+    let start_time = Instant::now();
+    await_end(tokio::spawn(server.shutdown())).await;
+    // The header timeout is 10 s.
+    assert!(start_time.elapsed() < Duration::from_secs(8), "{:?}", start_time.elapsed());
+}
