--- /dev/null
+++ b/src/net/connection.rs
@@ -0,0 +1,156 @@
+//! One connection of a server.
+
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use gotham::helpers::http::Body;
+use http::header::CONNECTION;
+use http::{HeaderValue, Request, Response};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::time::Instant;
+use tokio_rustls::TlsAcceptor;
+
+use super::linger;
+use super::progress::{REQUEST_WAIT, RequestGuard, SharedProgress};
+use super::respond::{self, Respond};
+use super::tracked::{TrackedStream, track_response};
+
+/// Default limit of a request line with its headers, in bytes.
+const DEFAULT_MAX_HEADER_BYTES: usize = 400 << 10;
+/// Smallest buffer limit that `hyper` accepts, in bytes; it panics on a smaller one.
+const MIN_BUFFER_BYTES: usize = 8 << 10;
+/// Default time limit for receiving a request line with its headers.
+const DEFAULT_HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Limits of one connection.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectionLimits {
+    /// Time limit for receiving a request line with its headers. It also limits the time
+    /// between requests.
+    pub header_timeout: Duration,
+    /// Largest request line with its headers, in bytes, but at least `MIN_BUFFER_BYTES`.
+    pub max_header_bytes: usize,
+}
+
+impl Default for ConnectionLimits {
+    fn default() -> Self {
+        Self { header_timeout: DEFAULT_HEADER_TIMEOUT, max_header_bytes: DEFAULT_MAX_HEADER_BYTES }
+    }
+}
+
+/// What all connections of a server share.
+pub(super) struct ServerState {
+    pub(super) responder: Arc<dyn Respond>,
+    pub(super) tls: Option<TlsAcceptor>,
+    /// True once every response has `Connection: close`.
+    pub(super) closing: Arc<AtomicBool>,
+    pub(super) limits: ConnectionLimits,
+}
+
+/// Serves the requests of the client at `from` until the connection ends.
+pub(super) async fn serve(
+    stream: TcpStream,
+    from: SocketAddr,
+    state: Arc<ServerState>,
+    stop: watch::Receiver<bool>,
+) {
+    let _ = stream.set_nodelay(true);
+    let Some(tls) = state.tls.clone() else {
+        return serve_requests(stream, from, state, stop).await;
+    };
+    match tls.accept(stream).await {
+        Ok(stream) => serve_requests(stream, from, state, stop).await,
+        Err(e) => log::debug!("http: TLS handshake with {from} failed: {e}."),
+    }
+}
+
+async fn serve_requests(
+    stream: impl AsyncRead + AsyncWrite + Send + Unpin + 'static,
+    from: SocketAddr,
+    state: Arc<ServerState>,
+    mut stop: watch::Receiver<bool>,
+) {
+    let builder = http_builder(&state.limits);
+    let progress = SharedProgress::new(Instant::now());
+    let stream = TokioIo::new(TrackedStream::new(stream, progress.clone()));
+    let requests = progress.clone();
+    let service =
+        service_fn(move |request| handle(request, from, state.clone(), requests.start_request()));
+    let mut connection = builder.serve_connection(stream, service);
+    let ended = tokio::select! {
+        biased;
+        outcome = &mut connection => Some(outcome),
+        () = idle_after_stop(&mut stop, &progress) => None,
+    };
+    let outcome = match ended {
+        Some(outcome) => outcome,
+        None => {
+            Pin::new(&mut connection).graceful_shutdown();
+            (&mut connection).await
+        }
+    };
+    if let Err(e) = &outcome {
+        log::debug!("http: connection from {from} failed: {e}.");
+    }
+    let quiet = progress.lock().is_quiet(Instant::now());
+    if may_have_responded(&outcome) && !quiet {
+        linger::close(connection.into_parts().io.into_inner().into_inner()).await;
+    }
+}
+
+/// Returns when the server has stopped and the connection is idle: its client has had time to send a
+/// request, and none is being answered. If the server has been dropped, returns at once.
+async fn idle_after_stop(stop: &mut watch::Receiver<bool>, progress: &SharedProgress) {
+    if stop.wait_for(|stop| *stop).await.is_err() {
+        return;
+    }
+    let stopped = Instant::now();
+    loop {
+        let close_at = progress.lock().close_at(stopped);
+        let check_at = close_at.unwrap_or_else(|| Instant::now() + REQUEST_WAIT);
+        tokio::time::sleep_until(check_at).await;
+        // Lets the connection read what has come while the process was busy.
+        tokio::task::yield_now().await;
+        let close_at = progress.lock().close_at(stopped);
+        if close_at.is_some_and(|at| at <= Instant::now()) {
+            return;
+        }
+    }
+}
+
+/// True unless the connection failed in a way that leaves its last response incomplete. `hyper` answers
+/// a request that it can't parse.
+fn may_have_responded(outcome: &hyper::Result<()>) -> bool {
+    outcome.as_ref().map_or_else(hyper::Error::is_parse, |()| true)
+}
+
+fn http_builder(limits: &ConnectionLimits) -> http1::Builder {
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.header_timeout)
+        .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES));
+    builder
+}
+
+async fn handle(
+    request: Request<Incoming>,
+    from: SocketAddr,
+    state: Arc<ServerState>,
+    guard: RequestGuard,
+) -> anyhow::Result<Response<Body>> {
+    let mut response = respond::dispatch(request, from, state.responder.clone()).await?;
+    if state.closing.load(Ordering::Relaxed) {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(track_response(response, guard))
+}
