Net: accept the backlog before the listener closes

Callers saw: a reset of a connection that they had just opened, and on which they had sent a whole request, in the milliseconds in which a stopping server closes its listener.

Cause: the kernel completes connections before the server accepts them; closing the listener resets those that wait.

The listener accepts until the system says that none is left, and only then closes. A connection that the kernel completes between these two steps is still reset: nothing in the sockets' interface closes that gap.

--- a/src/net/serve.rs
+++ b/src/net/serve.rs
@@ -1,12 +1,13 @@
 //! An HTTP/1.1 server with optional TLS, limits per connection and graceful shutdown. Each request
 //! is handled by a [`Respond`].
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio_rustls::TlsAcceptor;
 
@@ -61,7 +62,8 @@
         self.closing.store(true, Ordering::Relaxed);
     }
 
-    /// Stops accepting connections. A connection without a request gets a short time to send one.
+    /// Stops accepting connections, but for those that wait in the backlog. A connection without a
+    /// request gets a short time to send one.
     /// Returns when all requests in flight are done and all connections are closed.
     pub async fn shutdown(self) {
         self.close_connections();
@@ -76,18 +78,19 @@
 async fn accept_loop(
     listener: TcpListener,
     state: Arc<ServerState>,
-    mut stopped: watch::Receiver<bool>,
+    stopped: watch::Receiver<bool>,
 ) {
+    let mut stop = stopped.clone();
+    let serve = |stream, from| {
+        tokio::spawn(connection::serve(stream, from, state.clone(), stopped.clone()));
+    };
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = stopped.changed() => break,
+            _ = stop.changed() => break,
         };
         match accepted {
-            Ok((stream, from)) => {
-                let served = connection::serve(stream, from, state.clone(), stopped.clone());
-                tokio::spawn(served);
-            }
+            Ok((stream, from)) => serve(stream, from),
             Err(e) => {
                 log::warn!("http: accept failed: {e}.");
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -95,4 +98,27 @@
         }
     }
     state.closing.store(true, Ordering::Relaxed);
+    if let Err(e) = accept_backlog(listener, serve) {
+        log::warn!("http: accept failed at the end: {e}.");
+    }
+}
+
+/// Accepts the connections that wait in the backlog, then closes the listener, which would reset them.
+fn accept_backlog(
+    listener: TcpListener,
+    serve: impl Fn(TcpStream, SocketAddr),
+) -> std::io::Result<()> {
+    // Tokio's listener would wait for the next event; this one asks the system.
+    let listener = listener.into_std()?;
+    loop {
+        match listener.accept() {
+            Ok((stream, from)) => {
+                stream.set_nonblocking(true)?;
+                serve(TcpStream::from_std(stream)?, from);
+            }
+            Err(e) if e.kind() == ErrorKind::ConnectionAborted => {}
+            Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
+            Err(e) => return Err(e),
+        }
+    }
 }
--- a/tests/server_stop.rs
+++ b/tests/server_stop.rs
@@ -1,5 +1,7 @@
-//! A server that stops accepting answers what open connections without a request still send.
+//! A server that stops accepting answers what has reached it: connections in the kernel's backlog, and
+//! open ones without a request.
 
+use std::io::Write;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -13,6 +15,8 @@
 
 /// Timeout of every wait, so that a hanging test fails.
 const TEST_TIMEOUT: Duration = Duration::from_secs(60);
+/// More connections than are accepted in one turn of the runtime.
+const BACKLOG: usize = 100;
 const REQUEST: &[u8] = b"POST /swap HTTP/1.1\r\nHost: zoo.example\r\nContent-Length: 4\r\n\r\nswap";
 
 /// Responds with the request's body.
@@ -66,6 +70,33 @@
         .expect("no panic");
 }
 
+/// Guards against requests that are reset unread, because their connections were still in the backlog
+/// when the listener closed.
+#[tokio::test]
+async fn connections_in_the_backlog_are_answered() {
+    let server = start().await;
+    // Without a turn of the runtime, nothing is accepted meanwhile.
+    let callers: Vec<std::net::TcpStream> = (0..BACKLOG)
+        .map(|_| {
+            let mut caller = std::net::TcpStream::connect(server.addr).expect("connect");
+            caller.write_all(REQUEST).expect("send");
+            caller
+        })
+        .collect();
+    let shutdown = tokio::spawn(server.shutdown());
+    let mut unanswered = Vec::new();
+    for caller in callers {
+        caller.set_nonblocking(true).expect("a socket option");
+        let mut caller = TcpStream::from_std(caller).expect("a socket");
+        let response = read_to_end(&mut caller).await;
+        if !is_answered(&response) {
+            unanswered.push(response);
+        }
+    }
+    assert!(unanswered.is_empty(), "{} of {BACKLOG}, as {}", unanswered.len(), unanswered[0]);
+    await_end(shutdown).await;
+}
+
 /// Guards against a connection that is closed unread, because its caller had connected, and not yet
 /// sent its request, when the server stopped accepting.
 #[tokio::test]
