One schedule of a stop, read by fronts and the daemon

A stopping shallotstalld accepted every request until its look-ups had expired, also those whose time limit ends after stop.drain_ms: where an operator sets it below a service's answer_ms, they were aborted while their target ran them.

What a stop decides by time is in steer::StopSchedule now, with time as an argument: end of the listener, first attempts, retries, exit, whether lookups and readiness name the VM, whether it holds leases. The daemon refuses what may outlive its stop at once (new reason 'stopping', 503, not-run), also before a later attempt.

--- a/src/front/attempt.rs
+++ b/src/front/attempt.rs
@@ -71,7 +71,7 @@
                 return Err(history.error("no-target", "no target is available"));
             }
         };
-        if !may_send(front, &admitted) {
+        if !may_send(front, &admitted, &history) {
             return Err(history.error("stopping", "this entry VM is stopping"));
         }
         if clock::now() + TIME_LEFT_MIN > admitted.deadline {
@@ -159,7 +159,7 @@
         AttemptOutcome::Failed(response) => {
             history.arrivals += 1;
             let retry = idempotent && history.arrivals < admitted.route.attempts;
-            if !retry || !can_retry(front, admitted) || !may_send(front, admitted) {
+            if !retry || !can_retry(front, admitted) || !may_send(front, admitted, history) {
                 return Next::Respond(response);
             }
             history.maybe_run = true;
@@ -216,8 +216,11 @@
 }
 
 /// False if this VM is stopping and may not finish the request.
-fn may_send(front: &Front, admitted: &Admitted) -> bool {
-    front.accepts(clock::now(), admitted.deadline)
+fn may_send(front: &Front, admitted: &Admitted, history: &History) -> bool {
+    match history.arrivals {
+        0 => front.accepts(clock::now(), admitted.deadline),
+        _ => front.may_retry(clock::now(), admitted.deadline),
+    }
 }
 
 fn check_quarantine(front: &Front, admitted: &Admitted) -> Result<(), RequestError> {
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -35,6 +35,7 @@
 
 use tokio::sync::Notify;
 
+use crate::clock;
 use crate::model::Place;
 use crate::peer::Identity;
 use crate::steer::StopSchedule;
@@ -85,8 +86,14 @@
 }
 
 impl Front {
+    /// True once callers and peers should use other VMs.
     pub(crate) fn is_leaving(&self) -> bool {
-        self.stop.get().is_some()
+        self.stop.get().is_some_and(|stop| !stop.names_vm(clock::now()))
+    }
+
+    /// False once this VM's leases and loans are handed back.
+    pub(crate) fn holds_leases(&self) -> bool {
+        self.stop.get().is_none_or(|stop| stop.holds_leases(clock::now()))
     }
 
     /// True if a request that times out at `deadline` may be sent to a target now; a stopping VM
@@ -95,6 +102,11 @@
         self.stop.get().is_none_or(|stop| stop.accepts(now, deadline))
     }
 
+    /// True if a request that times out at `deadline` may be sent to another target now.
+    pub(crate) fn may_retry(&self, now: Duration, deadline: Duration) -> bool {
+        self.stop.get().is_none_or(|stop| stop.may_retry(now, deadline))
+    }
+
     /// True if lookups may name this VM to callers and the readiness check passes.
     pub(crate) fn is_serving(&self) -> bool {
         !self.is_leaving() && self.state.index().is_some()
--- a/src/front/run.rs
+++ b/src/front/run.rs
@@ -150,7 +150,7 @@
         let front = self.front;
         let start = clock::now();
         let signal = front.lag.signal_window(start);
-        let stop = StopSchedule::new(signal, front.config.bounds.grace.0);
+        let stop = StopSchedule::within_grace(signal, front.config.bounds.grace.0);
         front.decision_log.log("stop", &front.stop_record(start, start));
         // Only one stop happens, since it consumes the daemon.
         let _ = front.stop.set(stop);
--- a/src/front/sessions.rs
+++ b/src/front/sessions.rs
@@ -172,7 +172,7 @@
         let now = clock::now();
         let Some(index) = self.state.index() else { return (now, Vec::new()) };
         let mut state = self.state.lock();
-        if self.is_leaving() {
+        if !self.holds_leases() {
             state.token_pool.release_loans();
             return (now, Vec::new());
         }
--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -43,6 +43,16 @@
     reason: Option<Reason>,
 }
 
+impl AttemptHistory {
+    /// Makes no further attempt, since this VM is stopping. The outcome of an earlier attempt says more.
+    fn stop(&mut self) {
+        if self.reason.is_none() {
+            self.reason = Some(Reason::Stopping);
+            self.cause = "this VM is stopping".to_owned();
+        }
+    }
+}
+
 /// What follows an attempt.
 enum NextStep {
     Return(Answer),
@@ -73,6 +83,10 @@
             }
             break;
         };
+        if !may_send(node, &history, left) {
+            history.stop();
+            break;
+        }
         history.attempts += 1;
         let answer = send(node, admitted, &candidate, &history, left).await;
         let text = format!("{:?} by {} {}", decode_outcome(&answer), answer.target, answer.cause);
@@ -89,6 +103,14 @@
     Err(refuse(history))
 }
 
+/// False if this VM is stopping and may not finish the request.
+fn may_send(node: &Node, history: &AttemptHistory, left: Duration) -> bool {
+    match history.attempts {
+        0 => node.lifecycle.accepts(left),
+        _ => node.lifecycle.may_retry(left),
+    }
+}
+
 /// Longest wait until any VM has targets of the service.
 fn queue_timeout(admitted: &Admitted) -> Duration {
     Duration::from_millis(admitted.document.limits.queue_ms)
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -250,7 +250,7 @@
     })
 }
 
-/// Takes a token, checks the quarantine, and sends the request.
+/// Checks whether there is time for the request, takes a token, checks the quarantine, and sends it.
 async fn run(
     node: &Node,
     admitted: &Admitted,
@@ -261,6 +261,7 @@
         Some(_) => refusal.with_unknown_run(),
         None => refusal,
     };
+    check_stop(node, admitted).map_err(before_claim)?;
     node.ingress.deposit_retries(&admitted.service, admitted.document.limits.retries);
     take_token(node, admitted, builder).await.map_err(before_claim)?;
     check_quarantine(node, admitted).map_err(before_claim)?;
@@ -270,6 +271,14 @@
     }
 }
 
+/// Refuses a request that a stopping daemon may not finish.
+fn check_stop(node: &Node, admitted: &Admitted) -> Result<(), Refusal> {
+    match node.lifecycle.accepts(admitted.left(Instant::now())) {
+        true => Ok(()),
+        false => Err(Refusal::not_run(Reason::Stopping, "this VM is stopping")),
+    }
+}
+
 async fn take_token(
     node: &Node,
     admitted: &Admitted,
--- a/src/node/lifecycle.rs
+++ b/src/node/lifecycle.rs
@@ -1,12 +1,15 @@
 //! The life cycle of the daemon. Its transitions are in `charts/daemon.toml`.
 
 use std::sync::{Mutex, OnceLock};
+use std::time::Duration;
 
 use macro_rules_attribute::apply;
 use serde::{Deserialize, Serialize};
 
 use crate::chart::StateChart;
+use crate::clock;
 use crate::common::plain;
+use crate::steer::StopSchedule;
 
 /// A state of the daemon.
 #[apply(plain!)]
@@ -42,17 +45,21 @@
 
 /// The state of this daemon.
 #[derive(Debug)]
-pub(crate) struct Lifecycle(Mutex<DaemonState>);
+pub(crate) struct Lifecycle {
+    state: Mutex<DaemonState>,
+    /// Set when a graceful stop has begun.
+    schedule: OnceLock<StopSchedule>,
+}
 
 impl Default for Lifecycle {
     fn default() -> Self {
-        Self(Mutex::new(chart().initial()))
+        Self { state: Mutex::new(chart().initial()), schedule: OnceLock::new() }
     }
 }
 
 impl Lifecycle {
     pub(crate) fn state(&self) -> DaemonState {
-        *self.0.lock().expect("lifecycle lock")
+        *self.state.lock().expect("lifecycle lock")
     }
 
     /// True once the daemon has a configuration or has been told to stop.
@@ -65,9 +72,28 @@
         self.state() >= DaemonState::Leaving
     }
 
+    /// Begins a graceful stop; further ones change nothing.
+    pub(crate) fn stop(&self, schedule: StopSchedule) {
+        let _ = self.schedule.set(schedule);
+        self.apply(DaemonEvent::Stop);
+    }
+
+    /// True if a request with so much time `left` may be sent to a target; a stopping daemon refuses
+    /// those that it may not finish.
+    pub(crate) fn accepts(&self, left: Duration) -> bool {
+        let now = clock::now();
+        self.schedule.get().is_none_or(|s| s.accepts(now, now.saturating_add(left)))
+    }
+
+    /// True if a request with so much time `left` may be sent to another target.
+    pub(crate) fn may_retry(&self, left: Duration) -> bool {
+        let now = clock::now();
+        self.schedule.get().is_none_or(|s| s.may_retry(now, now.saturating_add(left)))
+    }
+
     /// Applies an event and returns the new state.
     pub(crate) fn apply(&self, event: DaemonEvent) -> DaemonState {
-        let mut state = self.0.lock().expect("lifecycle lock");
+        let mut state = self.state.lock().expect("lifecycle lock");
         let next = chart().next(*state, event);
         if next != *state {
             log::info!("daemon: State is now {next:?}.");
--- a/src/node/refusal.rs
+++ b/src/node/refusal.rs
@@ -68,6 +68,8 @@
     TargetFailed,
     /// The daemon has no configuration yet.
     NotReady,
+    /// The daemon is stopping and may not finish the request.
+    Stopping,
 }
 
 impl Reason {
@@ -87,7 +89,8 @@
             | Reason::OnceUnavailable
             | Reason::Busy
             | Reason::NoTarget
-            | Reason::NotReady => StatusCode::SERVICE_UNAVAILABLE,
+            | Reason::NotReady
+            | Reason::Stopping => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -9,9 +9,11 @@
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
+use crate::clock;
 use crate::config::Config;
 use crate::net::{Server, tls_acceptor};
 use crate::peer::{Identity, PeerServer};
+use crate::steer::StopSchedule;
 
 use super::ingress::CallerHandler;
 use super::lifecycle::{DaemonEvent, DaemonState};
@@ -98,16 +100,19 @@
     /// Stops gracefully: look-ups no longer name this VM, callers' copies of earlier look-ups
     /// expire, requests in flight finish, and the other VMs take over what this VM owns.
     ///
-    /// New requests are served until the last look-up that names this VM has expired.
+    /// New requests are served until the last look-up that names this VM has expired, if they end
+    /// before `stop.drain_ms` is over.
     pub async fn stop(self) {
         let node = self.node;
-        node.lifecycle.apply(DaemonEvent::Stop);
+        let drain = Duration::from_millis(node.config.stop.drain_ms);
+        let schedule = StopSchedule::with_notice(clock::now(), node.config.lookup_ttl(), drain);
+        node.lifecycle.stop(schedule);
         peers::broadcast_heartbeat(&node);
         self.callers.close_connections();
-        tokio::time::sleep(node.config.lookup_ttl()).await;
+        tokio::time::sleep(schedule.close_at().saturating_sub(clock::now())).await;
         node.lifecycle.apply(DaemonEvent::NoticeOver);
-        let drain = Duration::from_millis(node.config.stop.drain_ms);
-        if tokio::time::timeout(drain, self.callers.shutdown()).await.is_err() {
+        let left = schedule.exit_at().saturating_sub(clock::now());
+        if tokio::time::timeout(left, self.callers.shutdown()).await.is_err() {
             log::error!(
                 "daemon: Requests still in flight after {} ms were aborted.",
                 drain.as_millis()
--- a/src/steer/stopping.rs
+++ b/src/steer/stopping.rs
@@ -1,9 +1,9 @@
-//! Decides what a stopping entry VM still accepts.
+//! The schedule of a graceful stop: everything that a stopping VM decides by time.
 //!
 //! Load pattern: callers go on using earlier lookup responses, and open connections, after the VM has
 //! been told to stop. A request whose timeout ends after the process exits may be cut while it runs
-//! at its target, so late in the stop such requests are rejected at once: they have not run, and
-//! another VM can take them.
+//! at its target, so such requests are rejected at once: they have not run, and another VM can take
+//! them. Only early in a stop that the platform bounds, requests are accepted whatever their timeout.
 
 use std::time::Duration;
 
@@ -29,53 +29,79 @@
 /// The schedule of a graceful stop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StopSchedule {
-    signal: SignalWindow,
-    grace: Duration,
+    /// From then on, lookups and readiness don't name the VM, and it holds no leases.
+    start: Duration,
+    /// Until then, requests are accepted whatever their timeout.
+    any_timeout_until: Duration,
+    /// Until then, connections are accepted.
+    close_at: Duration,
+    /// Until then, requests are accepted that finish before the exit.
+    reject_at: Duration,
+    /// Never before one of the others.
+    exit_at: Duration,
 }
 
 impl StopSchedule {
-    /// A stop that a signal begins, and that ends within `grace` of its sending.
-    pub fn new(signal: SignalWindow, grace: Duration) -> Self {
-        Self { signal, grace }
+    /// A stop that a signal begins, and that ends within `grace` of its sending; the platform then
+    /// kills the process.
+    pub fn within_grace(signal: SignalWindow, grace: Duration) -> Self {
+        let after = |fraction| signal.earliest + grace.mul_f64(fraction);
+        let exit_at = after(EXIT_FRACTION);
+        // The platform lets the process cut early requests only late in the grace period, whenever the
+        // signal was sent.
+        let may_cut = signal.latest + grace.mul_f64(MAY_CUT_FRACTION) <= exit_at;
+        let any_timeout = ANY_TIMEOUT_PERIOD.min(grace.mul_f64(ANY_TIMEOUT_FRACTION));
+        let reject_at = after(REJECT_FRACTION);
+        Self {
+            start: signal.earliest,
+            any_timeout_until: signal.earliest + if may_cut { any_timeout } else { Duration::ZERO },
+            close_at: (signal.latest + ACCEPT_PERIOD).min(reject_at),
+            reject_at,
+            exit_at,
+        }
+    }
+
+    /// A stop that begins at `start`, accepts connections for the time of `notice`, and then waits for
+    /// requests in flight for the time of `drain` at most.
+    pub fn with_notice(start: Duration, notice: Duration, drain: Duration) -> Self {
+        let close_at = start + notice;
+        let exit_at = close_at + drain;
+        Self { start, any_timeout_until: start, close_at, reject_at: exit_at, exit_at }
+    }
+
+    /// True if lookups may name the VM to callers, and the readiness check passes.
+    pub fn names_vm(&self, now: Duration) -> bool {
+        now < self.start
+    }
+
+    /// True if the VM keeps leases and loans; from then on they are handed back.
+    pub fn holds_leases(&self, now: Duration) -> bool {
+        now < self.start
     }
 
     /// When the VM stops accepting connections.
     pub fn close_at(&self) -> Duration {
-        let expired = self.signal.latest + ACCEPT_PERIOD;
-        expired.min(self.after(REJECT_FRACTION))
+        self.close_at
     }
 
     /// When the process exits even with requests in flight.
     pub fn exit_at(&self) -> Duration {
-        self.after(EXIT_FRACTION)
+        self.exit_at
     }
 
-    /// True if a request that times out at `deadline` may be sent to a target now.
+    /// True if a request that times out at `deadline` may be sent to a target for the first time.
     pub fn accepts(&self, now: Duration, deadline: Duration) -> bool {
-        match self.finishes(deadline) {
-            true => now < self.after(REJECT_FRACTION),
-            false => self.may_cut() && now < self.any_timeout_until(),
-        }
+        now < self.any_timeout_until || now < self.reject_at && self.finishes(deadline)
     }
 
-    /// True if a request that times out at `deadline` is sure to end before the process exits.
-    fn finishes(&self, deadline: Duration) -> bool {
-        deadline.saturating_add(RESPONSE_MARGIN) <= self.exit_at()
-    }
-
-    /// True if the process exits so late that the platform lets it cut requests that it accepted early
-    /// in the stop, whenever the signal was sent.
-    fn may_cut(&self) -> bool {
-        self.signal.latest + self.grace.mul_f64(MAY_CUT_FRACTION) <= self.exit_at()
+    /// True if a request that times out at `deadline` may be sent to another target. Its first target
+    /// has had part of its time, so it is more likely to be cut than a new one.
+    pub fn may_retry(&self, now: Duration, deadline: Duration) -> bool {
+        now < self.exit_at && self.finishes(deadline)
     }
 
-    fn any_timeout_until(&self) -> Duration {
-        let period = ANY_TIMEOUT_PERIOD.min(self.grace.mul_f64(ANY_TIMEOUT_FRACTION));
-        self.signal.earliest + period
-    }
-
-    /// The moment after which a fraction of the grace period may be over.
-    fn after(&self, fraction: f64) -> Duration {
-        self.signal.earliest + self.grace.mul_f64(fraction)
+    /// True if a request that times out at `deadline` is sure to end before the process exits.
+    fn finishes(&self, deadline: Duration) -> bool {
+        deadline.saturating_add(RESPONSE_MARGIN) <= self.exit_at
     }
 }
