Crashes of a target count one by one while its record can't be read

Seen: with the store down, a target that crashed and started again kept its record in the VM's view, so all its crashes were one event (its id and the start of its process): the request that crashes it was never quarantined and crashed it at each of its starts, with all that ran there. Evidence: each_crash_counts_while_the_store_is_down (platform/tests/crashes.rs) failed before: 4 requests reached the target where 2 may, 4 `death` lines. It passes now, with the other two of that file. Fix: the balancer counts the restarts that it sees, a crash and then a successful probe, for each record; a crash is identified by the count at the moment at which its request was picked. So late news of a crash stays news of that crash, and a failure without a crash is no restart (tests/steer_restarts.rs).

--- a/src/front/crash_check.rs
+++ b/src/front/crash_check.rs
@@ -24,19 +24,26 @@
     id: String,
 ) {
     let port = check_port(pick.addr, CRASH_CHECK_TIMEOUT).await;
-    if port == PortState::Open {
-        return;
-    }
-    front.state.lock().balancer.mark_failed(clock::now(), &pick.id);
-    if port == PortState::Refused {
-        // A process crashes only once, however many requests see it.
-        let event = format!("{}/{}", pick.id, pick.born_ms);
-        front.decision_log.log_limited("death", &CrashRecord { id: &id, target: pick.id.as_str() });
-        let target = pick.id.to_string();
-        front.record_crashes(&[TargetCrash { fingerprint, event, target, ..Default::default() }]);
+    let now = clock::now();
+    match port {
+        PortState::Open => {}
+        PortState::Unresponsive => front.state.lock().balancer.mark_failed(now, &pick.id),
+        PortState::Refused => {
+            front.state.lock().balancer.mark_crashed(now, &pick);
+            report(&front, &pick, fingerprint, &id);
+        }
     }
 }
 
+/// Logs and records that the target of the request `id` has crashed.
+fn report(front: &Front, pick: &Pick, fingerprint: String, id: &str) {
+    let target = pick.id.to_string();
+    front.decision_log.log_limited("death", &CrashRecord { id, target: &target });
+    // A process crashes only once, however many requests see it.
+    let event = format!("{target}/{}/{}", pick.born_ms, pick.restarts);
+    front.record_crashes(&[TargetCrash { fingerprint, event, target, ..Default::default() }]);
+}
+
 #[derive(Serialize)]
 struct CrashRecord<'a> {
     id: &'a str,
--- a/src/steer/balancer.rs
+++ b/src/steer/balancer.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
-use super::known::{DueProbe, KnownTarget, LeftTarget, TargetTrust};
+use super::known::{COLD_MARGIN, DueProbe, KnownTarget, LeftTarget, TargetTrust};
 use super::notice::{NoticeOrigin, NoticeState, TargetNotice};
 use super::pick::{Pick, PickRequest, PickResult};
 use super::ranking::{Ranked, choose};
@@ -16,12 +16,6 @@
 use super::zone_failures::ZoneFailures;
 use crate::model::{RegionId, TargetId, ZoneId};
 
-/// Added to a target's reported remaining warm-up time.
-const COLD_MARGIN: Duration = Duration::from_millis(400);
-/// Time from a failure to the first probe; doubles with each failed probe.
-const PROBE_BACKOFF: Duration = Duration::from_millis(250);
-/// Longest time between two probes of a target.
-const PROBE_BACKOFF_MAX: Duration = Duration::from_secs(2);
 /// Time for which a target is kept after its record has disappeared, if the store may have lost the
 /// record while the target still runs.
 const MISSING_RECORD_TTL: Duration = Duration::from_millis(2_300);
@@ -203,6 +197,7 @@
             id: id.clone(),
             addr: known.record.addr,
             born_ms: known.record.born_ms,
+            restarts: known.restarts,
             zone: known.record.zone.clone(),
             region: known.region.clone(),
             queue: known.load.queue_ahead(now),
@@ -313,15 +308,22 @@
     /// whole zone seems to be gone, all targets of the zone are.
     pub fn mark_failed(&mut self, now: Duration, id: &TargetId) {
         let Some(known) = self.targets.get_mut(id) else { return };
-        if known.trust == TargetTrust::Trusted {
-            known.trust = TargetTrust::Unproven { due: now + PROBE_BACKOFF, failures: 0 };
-        }
+        known.mark_failed(now);
         let zone = known.record.zone.clone();
         if self.zone_failures.entry(zone.clone()).or_default().record_failure(now, id) {
             self.distrust_zone(now, &zone);
         }
     }
 
+    /// Marks the target of a request as failed because it has crashed.
+    pub fn mark_crashed(&mut self, now: Duration, pick: &Pick) {
+        let known = self.targets.get_mut(&pick.id);
+        if let Some(known) = known.filter(|k| k.is_same_run(pick)) {
+            known.crashed = true;
+        }
+        self.mark_failed(now, &pick.id);
+    }
+
     /// Probes all targets of a zone before they get requests again.
     fn distrust_zone(&mut self, now: Duration, zone: &ZoneId) {
         let in_zone = self.targets.values_mut().filter(|k| k.record.zone == *zone);
@@ -363,20 +365,8 @@
 
     /// Records a probe: the time for which the target stays cold, or `None` if the probe failed.
     pub fn record_probe(&mut self, now: Duration, id: &TargetId, cold: Option<Duration>) {
-        let Some(known) = self.targets.get_mut(id) else { return };
-        let TargetTrust::Probing { failures } = known.trust else { return };
-        match cold {
-            Some(cold) => {
-                known.trust = TargetTrust::Trusted;
-                if !cold.is_zero() {
-                    known.cold_until = now + cold + COLD_MARGIN;
-                }
-            }
-            None => {
-                let backoff = PROBE_BACKOFF * 2u32.saturating_pow(failures + 1);
-                let due = now + backoff.min(PROBE_BACKOFF_MAX);
-                known.trust = TargetTrust::Unproven { due, failures: failures + 1 };
-            }
+        if let Some(known) = self.targets.get_mut(id) {
+            known.record_probe(now, cold);
         }
     }
 
--- a/src/steer/known.rs
+++ b/src/steer/known.rs
@@ -6,10 +6,18 @@
 use super::backoff::FailureBackoff;
 use super::load::TargetLoad;
 use super::notice::NoticeState;
+use super::pick::Pick;
 use super::record::TargetRecord;
 use super::rendezvous::NameHash;
 use crate::model::{RegionId, ServiceId, TargetId};
 
+/// Added to a target's reported remaining warm-up time.
+pub(super) const COLD_MARGIN: Duration = Duration::from_millis(400);
+/// Time from a failure to the first probe; doubles with each failed probe.
+const PROBE_BACKOFF: Duration = Duration::from_millis(250);
+/// Longest time between two probes of a target.
+const PROBE_BACKOFF_MAX: Duration = Duration::from_secs(2);
+
 /// Whether a target may take requests, judged by its failures and probes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TargetTrust {
@@ -52,6 +60,11 @@
     pub(super) hash: NameHash,
     pub(super) region: RegionId,
     pub(super) trust: TargetTrust,
+    /// True from a crash until a probe succeeds.
+    pub(super) crashed: bool,
+    /// Crashes under this record after which it has responded again. The record tells a restart
+    /// late, or not at all while the store is down.
+    pub(super) restarts: u32,
     /// When its warm-up is over.
     pub(super) cold_until: Duration,
     /// When the next request may go to it while it is cold.
@@ -85,6 +98,8 @@
             hash,
             region,
             trust: TargetTrust::Trusted,
+            crashed: false,
+            restarts: 0,
             cold_until,
             next_cold_send: Duration::ZERO,
             backoff: FailureBackoff::default(),
@@ -98,6 +113,8 @@
         let restarted = self.record.born_ms != record.born_ms || self.record.addr != record.addr;
         if restarted {
             self.trust = TargetTrust::Trusted;
+            self.crashed = false;
+            self.restarts = 0;
             self.backoff = FailureBackoff::default();
             self.notices = self.notices.for_incarnation(record.born_ms);
         }
@@ -106,4 +123,41 @@
         self.load.set_slots(record.slots);
         self.record = record;
     }
+
+    /// True if the target has not been seen to restart since it was picked.
+    pub(super) fn is_same_run(&self, pick: &Pick) -> bool {
+        self.record.born_ms == pick.born_ms && self.restarts == pick.restarts
+    }
+
+    /// Takes a failure: the target is probed before it gets requests again.
+    pub(super) fn mark_failed(&mut self, now: Duration) {
+        if self.trust == TargetTrust::Trusted {
+            self.trust = TargetTrust::Unproven { due: now + PROBE_BACKOFF, failures: 0 };
+        }
+    }
+
+    /// Takes the result of a probe: the time for which the target stays cold, or `None` if the probe
+    /// failed.
+    pub(super) fn record_probe(&mut self, now: Duration, cold: Option<Duration>) {
+        let TargetTrust::Probing { failures } = self.trust else { return };
+        match cold {
+            Some(cold) => self.mark_alive(now, cold),
+            None => {
+                let backoff = PROBE_BACKOFF * 2u32.saturating_pow(failures + 1);
+                let due = now + backoff.min(PROBE_BACKOFF_MAX);
+                self.trust = TargetTrust::Unproven { due, failures: failures + 1 };
+            }
+        }
+    }
+
+    fn mark_alive(&mut self, now: Duration, cold: Duration) {
+        self.trust = TargetTrust::Trusted;
+        if !cold.is_zero() {
+            self.cold_until = now + cold + COLD_MARGIN;
+        }
+        if self.crashed {
+            self.crashed = false;
+            self.restarts += 1;
+        }
+    }
 }
--- a/src/steer/pick.rs
+++ b/src/steer/pick.rs
@@ -50,6 +50,8 @@
     pub addr: SocketAddr,
     /// When its process started, in milliseconds since the Unix epoch.
     pub born_ms: u64,
+    /// Crashes under this record after which it has responded again.
+    pub restarts: u32,
     /// Its zone.
     pub zone: ZoneId,
     /// Its region.
