--- a/src/front/attempt.rs
+++ b/src/front/attempt.rs
@@ -72,7 +72,7 @@
             }
         };
         if !may_send(front, &admitted) {
-            return Err(history.error("stopping", "this entry VM is stopping"));
+            return Err(history.error("stopping", "this entry VM is stopping").retry_at_once());
         }
         if clock::now() + TIME_LEFT_MIN > admitted.deadline {
             return Err(history.error("no-time", "too little time is left before the deadline"));
--- a/src/front/ingress.rs
+++ b/src/front/ingress.rs
@@ -249,7 +249,9 @@
 fn check_stop(front: &Front, deadline: Duration) -> Result<(), RequestError> {
     match front.accepts(clock::now(), deadline) {
         true => Ok(()),
-        false => Err(RequestError::not_run("stopping", "this entry VM is stopping")),
+        false => {
+            Err(RequestError::not_run("stopping", "this entry VM is stopping").retry_at_once())
+        }
     }
 }
 
--- a/src/front/request.rs
+++ b/src/front/request.rs
@@ -37,6 +37,11 @@
         Self { retry_after: Some(RETRY_AFTER_DEFAULT), ..error }
     }
 
+    /// Lets the caller retry at once, if it may retry: another VM can serve it.
+    pub(crate) fn retry_at_once(self) -> Self {
+        Self { retry_after: self.retry_after.map(|_| Duration::ZERO), ..self }
+    }
+
     /// Raises `Retry-After`, if there is one, to at least `pause`.
     pub(crate) fn retry_after(self, pause: Duration) -> Self {
         Self { retry_after: self.retry_after.map(|r| r.max(pause)), ..self }
