--- a/src/front/attempt.rs
+++ b/src/front/attempt.rs
@@ -55,10 +55,8 @@
         let pick = match pick(front, &admitted, &history) {
             PickResult::Target(pick) => pick,
             PickResult::Busy(late) if front.is_leaving() && late > Duration::ZERO => {
-                return Err(history.error(
-                    "stopping",
-                    "the best target would respond after the exit or the deadline",
-                ));
+                let detail = "the best target would respond after the exit or the deadline";
+                return Err(history.error("stopping", detail).retry_at_once());
             }
             PickResult::Busy(late) => {
                 let error = history.error(
@@ -76,7 +74,7 @@
             }
         };
         if !may_send(front, &admitted, &history) {
-            return Err(history.error("stopping", "this entry VM is stopping"));
+            return Err(history.error("stopping", "this entry VM is stopping").retry_at_once());
         }
         if clock::now() + TIME_LEFT_MIN > admitted.deadline {
             return Err(history.error("no-time", "too little time is left before the deadline"));
