The daemon rejects a request at once if every target has said that it takes none

What callers saw: when all targets of a service leave or pause by their own word, a request waited for its whole time in the queue (limits.queue_ms) and was then refused with no-target, without Retry-After.

Cause: the ingress saw only slots, of which there were none, and took that for an ownership in transfer.

If these are all targets that the list has, and the first pause ends after the request may wait, it is refused: at the ingress, and by the same rule in the queue of the owner. The spread of Retry-After is the front's. retry_ms is rounded up now, so that it is never before the moment that it stands for.

--- a/src/cmd/slopes.rs
+++ b/src/cmd/slopes.rs
@@ -269,7 +269,8 @@
     let start = Instant::now();
     black_box(serde_json::from_str::<Roster>(&text)?);
     add(figures, "read a roster of 880 members", start.elapsed().as_secs_f64() * 1e3, "ms");
-    let load = ServiceLoad { service: "submissions".to_owned(), slots: 84, busy: 40, queued: 2 };
+    let service = "submissions".to_owned();
+    let load = ServiceLoad { service, slots: 84, busy: 40, queued: 2, ..ServiceLoad::default() };
     let heartbeat =
         Heartbeat { digest: u64::MAX, age_ms: 900, loads: vec![load; 3], ..Heartbeat::default() };
     let body = Some(Body::Heartbeat(heartbeat));
--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -11,12 +11,13 @@
 use crate::model::{RegionId, VmId};
 use crate::peer::{Answer, Body, Forward, Outcome, TargetCrash, decode_outcome};
 use crate::route::{Candidate, Origin, choose_vm};
+use crate::targets::Outage;
 
 use super::ingress::Admitted;
 use super::records::RecordBuilder;
 use super::refusal::{Reason, Refusal};
 use super::target_call::failed_answer;
-use super::{Node, egress, peers, sanitize};
+use super::{Node, egress, outage, peers, sanitize};
 
 /// Most attempts of one request, over all VMs.
 const MAX_ATTEMPTS: u32 = 4;
@@ -41,6 +42,8 @@
     cause: String,
     /// The reason to refuse the request if no further attempt is made.
     reason: Option<Reason>,
+    /// Why there was no VM for a further attempt, if the targets themselves have said it.
+    outage: Option<Outage>,
 }
 
 /// What follows an attempt.
@@ -66,14 +69,18 @@
             break;
         }
         let Some(candidate) = pick_candidate(node, admitted, &history, now, sample) else {
+            let wait = wait_left(admitted, builder, now);
+            history.outage = outage::find(node, admitted, now, &full_regions(node, admitted, now));
+            let outlasts = history.outage.is_some_and(|o| o.time_left() > wait);
             // The ownership of the targets may be in transfer from one VM to another.
-            if history.attempts == 0 && builder.start.elapsed() < queue_timeout(admitted) {
+            if history.attempts == 0 && !wait.is_zero() && !outlasts {
                 tokio::time::sleep(PICK_INTERVAL).await;
                 continue;
             }
             break;
         };
         history.attempts += 1;
+        history.outage = None;
         let answer = send(node, admitted, &candidate, &history, left).await;
         let text = format!("{:?} by {} {}", decode_outcome(&answer), answer.target, answer.cause);
         builder.add_step(
@@ -89,9 +96,11 @@
     Err(refuse(history))
 }
 
-/// Longest wait until any VM has targets of the service.
-fn queue_timeout(admitted: &Admitted) -> Duration {
-    Duration::from_millis(admitted.document.limits.queue_ms)
+/// Time for which a request may still wait until any VM has targets of the service.
+fn wait_left(admitted: &Admitted, builder: &RecordBuilder, now: Instant) -> Duration {
+    let limit = Duration::from_millis(admitted.document.limits.queue_ms);
+    let until = admitted.deadline.min(builder.start + limit);
+    until.saturating_duration_since(now)
 }
 
 fn pick_candidate(
@@ -295,14 +304,21 @@
 }
 
 fn refuse(history: AttemptHistory) -> Refusal {
-    let reason = history.reason.unwrap_or(Reason::NoTarget);
-    let detail = match history.cause.is_empty() {
-        true => "no entry VM has a target of this service".to_owned(),
-        false => history.cause,
+    let outage_reason = history.outage.as_ref().map(outage::reason);
+    let reason = outage_reason.or(history.reason).unwrap_or(Reason::NoTarget);
+    let detail = match (&history.outage, history.cause.is_empty()) {
+        (Some(outage), true) => outage.to_string(),
+        (Some(outage), false) => format!("{outage}; last attempt: {}", history.cause),
+        (None, true) => "no entry VM has a target of this service".to_owned(),
+        (None, false) => history.cause,
     };
-    match history.may_have_run {
+    let refusal = match history.may_have_run {
         true => Refusal::unknown(reason, detail),
         false => Refusal::not_run(reason, detail),
+    };
+    match &history.outage {
+        Some(outage) => outage::with_retry_after(refusal, outage),
+        None => refusal,
     }
 }
 
--- a/src/node/egress.rs
+++ b/src/node/egress.rs
@@ -15,11 +15,12 @@
 use crate::route::LinkBudget;
 use crate::spread::ConfigView;
 use crate::targets::{
-    AssignedSlot, AttemptResult, DispatchLimits, Dispatcher, NoticeInForce, OwnedTarget,
-    QueuedRequest, SlotDecision, TargetState,
+    AssignedSlot, AttemptResult, ClosedTargets, DispatchLimits, Dispatcher, OwnedTarget,
+    QueuedRequest, SlotDecision,
 };
 use crate::zone::Roster;
 
+use super::status::TargetStatus;
 use super::target_call::{failed_answer, send};
 use super::trace::{SpanContext, SpanEnd};
 use super::{Node, small_rng};
@@ -33,17 +34,6 @@
     unprobed: AtomicBool,
 }
 
-/// A target as its dispatcher knows it.
-pub(crate) struct TargetStatus {
-    pub(crate) service: ServiceId,
-    pub(crate) target: OwnedTarget,
-    pub(crate) state: TargetState,
-    /// Requests of this VM that run there.
-    pub(crate) busy: u32,
-    /// What it says of itself, if that is in force.
-    pub(crate) notice: Option<NoticeInForce>,
-}
-
 #[derive(Default)]
 struct Inner {
     dispatchers: BTreeMap<ServiceId, Dispatcher>,
@@ -94,11 +84,20 @@
         let inner = self.inner.lock().expect("egress lock");
         let load = |(name, dispatcher): (&ServiceId, &Dispatcher)| {
             let (slots, busy, queued) = dispatcher.load(now);
-            ServiceLoad { service: name.to_string(), slots, busy, queued }
+            let ClosedTargets { leaving, paused, pause_left } = dispatcher.closed_targets(now);
+            let pause_left_ms = pause_left.map_or(0, |left| left.as_millis() as u64);
+            let service = name.to_string();
+            ServiceLoad { service, slots, busy, queued, leaving, paused, pause_left_ms }
         };
         inner.dispatchers.iter().map(load).collect()
     }
 
+    /// The targets of a service here that take no requests by their own word.
+    pub(crate) fn closed_targets(&self, now: Instant, service: &ServiceId) -> ClosedTargets {
+        let inner = self.inner.lock().expect("egress lock");
+        inner.dispatchers.get(service).map(|d| d.closed_targets(now)).unwrap_or_default()
+    }
+
     /// The services that have or had targets here.
     pub(crate) fn services(&self) -> Vec<ServiceId> {
         self.inner.lock().expect("egress lock").dispatchers.keys().cloned().collect()
--- a/src/node/mesh.rs
+++ b/src/node/mesh.rs
@@ -7,9 +7,10 @@
 use std::time::{Duration, Instant};
 
 use crate::escrow;
-use crate::model::{Incarnation, Place, ServiceId, VmId};
+use crate::model::{Incarnation, Place, RegionId, ServiceId, VmId};
 use crate::peer::{Body, Dialer, Heartbeat, Identity, PeerClient, Secret, ServiceLoad};
 use crate::route::Candidate;
+use crate::targets::ClosedTargets;
 
 /// Interval of the heartbeats to each peer.
 pub(crate) const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
@@ -108,6 +109,20 @@
     }
 }
 
+impl HeartbeatState {
+    /// The targets of a service that take no requests by their own word.
+    fn closed_targets(&self, now: Instant, service: &ServiceId) -> ClosedTargets {
+        let load = self.loads.iter().find(|l| l.service == service.as_str());
+        let Some((load, received)) = load.zip(self.last_heartbeat) else {
+            return ClosedTargets::default();
+        };
+        let age = now.saturating_duration_since(received);
+        let left = Duration::from_millis(load.pause_left_ms).saturating_sub(age);
+        let pause_left = (load.paused > 0).then_some(left);
+        ClosedTargets { leaving: load.leaving, paused: load.paused, pause_left }
+    }
+}
+
 /// Counts one forwarded request while it exists.
 pub(crate) struct ForwardGuard {
     peer: Arc<Peer>,
@@ -186,6 +201,21 @@
             .collect()
     }
 
+    /// The targets of a service at live peers that take no requests by their own word. Those in
+    /// `skipped` regions are left out.
+    pub(crate) fn closed_targets(
+        &self,
+        now: Instant,
+        service: &ServiceId,
+        skipped: &[RegionId],
+    ) -> ClosedTargets {
+        self.peers()
+            .iter()
+            .filter(|p| p.is_live(now) && !skipped.contains(&p.info.place.region))
+            .map(|p| p.state.lock().expect("heartbeat state lock").closed_targets(now, service))
+            .fold(ClosedTargets::default(), ClosedTargets::merge)
+    }
+
     /// This VM and its peers as the rate accounting sees them; `leaving` is true if this VM may no
     /// longer hold pools.
     pub(crate) fn members(&self, now: Instant, leaving: bool) -> Vec<escrow::PeerStatus> {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -15,6 +15,7 @@
 mod notices;
 mod once;
 mod operators;
+mod outage;
 mod peers;
 mod planner;
 mod probe;
--- a/src/node/refusal.rs
+++ b/src/node/refusal.rs
@@ -60,7 +60,9 @@
     OnceUnavailable,
     /// No target had a free slot in time, or the link to its region was full.
     Busy,
-    /// No VM has a target of the service, or none could be reached.
+    /// Every target that may run the request leaves or has asked for a pause.
+    Paused,
+    /// No VM has a target of the service, all of them leave, or none could be reached.
     NoTarget,
     /// The deadline has passed.
     TimedOut,
@@ -86,6 +88,7 @@
             | Reason::Quarantined
             | Reason::OnceUnavailable
             | Reason::Busy
+            | Reason::Paused
             | Reason::NoTarget
             | Reason::NotReady => StatusCode::SERVICE_UNAVAILABLE,
         }
@@ -130,7 +133,7 @@
 
     /// Adds the time after which a retry can succeed.
     pub(crate) fn with_retry_after(mut self, after: Duration) -> Self {
-        self.retry_ms = Some(after.as_millis() as u64);
+        self.retry_ms = Some(after.as_nanos().div_ceil(1_000_000) as u64);
         self
     }
 
--- a/src/node/status.rs
+++ b/src/node/status.rs
@@ -8,7 +8,9 @@
 use macro_rules_attribute::apply;
 
 use crate::common::record;
+use crate::model::ServiceId;
 use crate::net::text_response;
+use crate::targets::{NoticeInForce, OwnedTarget, TargetState};
 
 use super::Node;
 use super::lifecycle::DaemonState;
@@ -40,6 +42,17 @@
     pub homes: BTreeMap<String, String>,
 }
 
+/// A target as its dispatcher knows it.
+pub(crate) struct TargetStatus {
+    pub(crate) service: ServiceId,
+    pub(crate) target: OwnedTarget,
+    pub(crate) state: TargetState,
+    /// Requests of this VM that run there.
+    pub(crate) busy: u32,
+    /// What it says of itself, if that is in force.
+    pub(crate) notice: Option<NoticeInForce>,
+}
+
 /// Answers whether this VM takes new callers.
 pub(crate) fn ready(node: &Node) -> Response<Bytes> {
     match node.lifecycle.state() {
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -110,6 +110,15 @@
     /// Number of requests that wait for a slot.
     #[prost(uint32, tag = "4")]
     pub queued: u32,
+    /// Targets that have said that they leave, but for those that leave by the platform's list.
+    #[prost(uint32, tag = "5")]
+    pub leaving: u32,
+    /// Targets that have asked for a pause that is not over.
+    #[prost(uint32, tag = "6")]
+    pub paused: u32,
+    /// Time until the first of these pauses is over, in milliseconds.
+    #[prost(uint64, tag = "7")]
+    pub pause_left_ms: u64,
 }
 
 /// The pool home of an account.
--- a/src/targets/dispatcher.rs
+++ b/src/targets/dispatcher.rs
@@ -6,7 +6,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use rand::Rng;
 
@@ -14,7 +14,7 @@
 
 use super::notices::{NoticeInForce, NoticeReport, TargetNotices};
 use super::tracked::{AttemptResult, OwnedTarget, TrackedTarget};
-use super::{Queue, QueuedRequest, Shed, TargetEvent, TargetState};
+use super::{ClosedTargets, Outage, Queue, QueuedRequest, Shed, TargetEvent, TargetState};
 
 /// Largest fraction of the targets that may be ejected; beyond it, ejected targets are used, too.
 const EJECTED_RATIO_MAX: f64 = 0.5;
@@ -115,6 +115,13 @@
         (slots, busy, self.queue.len() as u32)
     }
 
+    /// The targets that take no requests by their own word, but not those that leave by the list.
+    pub fn closed_targets(&self, now: Instant) -> ClosedTargets {
+        let words = self.targets.values().filter(|t| !t.target.leaving);
+        let closed = words.filter_map(|t| self.notices.get(&t.target)?.in_force(now));
+        closed.map(|n| n.as_closed()).fold(ClosedTargets::default(), ClosedTargets::merge)
+    }
+
     /// Number of running requests.
     pub fn busy(&self) -> u32 {
         self.targets.values().map(|t| t.busy).sum()
@@ -245,14 +252,22 @@
 
     /// Starts and refuses waiting requests as far as that is possible now.
     fn decide(&mut self, now: Instant, rng: &mut impl Rng) -> Vec<SlotDecision> {
+        // What must start before any target takes requests is refused at once.
+        let outage = self.outage(now).map_or(Duration::ZERO, |o| o.time_left());
+        let expired = self.queue.expire(now + outage).into_iter();
         let mut decisions: Vec<SlotDecision> =
-            self.queue.expire(now).into_iter().map(|Shed(t)| SlotDecision::Refuse(t)).collect();
+            expired.map(|Shed(ticket)| SlotDecision::Refuse(ticket)).collect();
         while let Some(slot) = self.start_next(now, rng) {
             decisions.push(SlotDecision::Start(slot));
         }
         decisions
     }
 
+    fn outage(&self, now: Instant) -> Option<Outage> {
+        let count = self.targets.values().filter(|t| !t.target.leaving).count();
+        self.closed_targets(now).outage(count)
+    }
+
     fn start_next(&mut self, now: Instant, rng: &mut impl Rng) -> Option<AssignedSlot> {
         if self.queue.is_empty() {
             return None;
--- a/src/targets/mod.rs
+++ b/src/targets/mod.rs
@@ -5,6 +5,7 @@
 mod dispatcher;
 mod life;
 mod notices;
+mod outage;
 mod queue;
 mod tracked;
 
@@ -12,5 +13,6 @@
 pub use dispatcher::{AssignedSlot, DispatchLimits, Dispatcher, SlotDecision};
 pub use life::{TargetEvent, TargetState, target_chart};
 pub use notices::{NoticeInForce, NoticeReport};
+pub use outage::{ClosedTargets, Outage};
 pub use queue::{Queue, QueuedRequest, Shed};
 pub use tracked::{AttemptResult, OwnedTarget};
--- a/src/targets/notices.rs
+++ b/src/targets/notices.rs
@@ -11,7 +11,7 @@
 use crate::model::TargetId;
 use crate::steer::{NoticeOrigin, NoticeState, TargetNotice};
 
-use super::OwnedTarget;
+use super::{ClosedTargets, OwnedTarget};
 
 /// Time for which the notices of a target that is not owned are kept. Longer than any pause.
 const UNOWNED_TTL: Duration = Duration::from_secs(7_200);
@@ -46,6 +46,18 @@
     },
 }
 
+impl NoticeInForce {
+    /// This target among those that take no requests.
+    pub(super) fn as_closed(&self) -> ClosedTargets {
+        match *self {
+            Self::Leaving { .. } => ClosedTargets { leaving: 1, ..ClosedTargets::default() },
+            Self::Paused { left, .. } => {
+                ClosedTargets { leaving: 0, paused: 1, pause_left: Some(left) }
+            }
+        }
+    }
+}
+
 impl fmt::Display for NoticeInForce {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/tests/dispatch_notices.rs
+++ b/tests/dispatch_notices.rs
@@ -8,8 +8,8 @@
 use shallotstall::model::TargetId;
 use shallotstall::steer::TargetNotice;
 use shallotstall::targets::{
-    AttemptResult, DispatchLimits, Dispatcher, NoticeInForce, NoticeReport, OwnedTarget,
-    QueuedRequest, SlotDecision,
+    AttemptResult, ClosedTargets, DispatchLimits, Dispatcher, NoticeInForce, NoticeReport, Outage,
+    OwnedTarget, QueuedRequest, SlotDecision,
 };
 
 const SLOTS: u32 = 10;
@@ -72,14 +72,33 @@
         self.dispatcher.tick(self.now, &mut self.rng);
     }
 
-    fn say_from(&mut self, number: usize, addr: SocketAddr, notice: TargetNotice) {
+    fn say_from(
+        &mut self,
+        number: usize,
+        addr: SocketAddr,
+        notice: TargetNotice,
+    ) -> Vec<SlotDecision> {
         let target = &self.owned[number].id;
         let report = NoticeReport { target, addr, notice, said_ms: SAID_MS };
-        self.dispatcher.record_notice(self.now, &report, &mut self.rng);
+        self.dispatcher.record_notice(self.now, &report, &mut self.rng)
     }
 
-    fn say(&mut self, number: usize, notice: TargetNotice) {
-        self.say_from(number, self.owned[number].addr, notice);
+    fn say(&mut self, number: usize, notice: TargetNotice) -> Vec<SlotDecision> {
+        self.say_from(number, self.owned[number].addr, notice)
+    }
+
+    /// Adds a request that may wait for a second.
+    fn admit(&mut self) -> Vec<SlotDecision> {
+        self.next_ticket += 1;
+        let request = QueuedRequest {
+            ticket: self.next_ticket,
+            customer: "c".into(),
+            weight: 1,
+            deadline: self.now + ms(1_000),
+            foreign: false,
+            avoid: Vec::new(),
+        };
+        self.dispatcher.admit(self.now, request, &mut self.rng)
     }
 
     fn notice(&self, number: usize) -> Option<NoticeInForce> {
@@ -91,16 +110,7 @@
     fn started(&mut self, number: usize) -> usize {
         let mut started = Vec::new();
         loop {
-            self.next_ticket += 1;
-            let request = QueuedRequest {
-                ticket: self.next_ticket,
-                customer: "c".into(),
-                weight: 1,
-                deadline: self.now + ms(1_000),
-                foreign: false,
-                avoid: Vec::new(),
-            };
-            let decisions = self.dispatcher.admit(self.now, request, &mut self.rng);
+            let decisions = self.admit();
             let Some(SlotDecision::Start(slot)) = decisions.first() else { break };
             started.push(slot.target.clone());
         }
@@ -228,7 +238,9 @@
 #[test]
 fn paused_targets_are_no_last_resort() {
     let mut bench = Bench::new(3);
-    (0..3).for_each(|n| bench.say(n, pause(2_000)));
+    for n in 0..3 {
+        bench.say(n, pause(2_000));
+    }
     assert_eq!((0..3).map(|n| bench.started(n)).sum::<usize>(), 0);
     assert_eq!(bench.dispatcher.load(bench.now).0, 0, "no slots are reported to peers");
 }
@@ -241,3 +253,55 @@
     bench.advance(ms(4_900));
     assert!(bench.notice(0).is_some());
 }
+
+/// Guards against requests that wait in the queue although no target can take them in time.
+#[test]
+fn a_request_that_must_start_before_any_pause_ends_is_refused_at_once() {
+    let cases = [
+        ("both paused, the first for longer than it may wait", [pause(5_000), pause(3_000)], true),
+        ("the first pause ends in time", [pause(5_000), pause(500)], false),
+        ("one leaves, the other is paused for too long", [LEAVING, pause(3_000)], true),
+        ("one leaves, the other's pause ends in time", [LEAVING, pause(500)], false),
+        ("both leave", [LEAVING, LEAVING], true),
+    ];
+    for (name, notices, refused) in cases {
+        for waits_before in [false, true] {
+            let mut bench = Bench::new(2);
+            let mut decisions = Vec::new();
+            if waits_before {
+                // All slots are taken, so that it waits when the notices come.
+                (0..20).for_each(|_| assert_eq!(bench.admit().len(), 1));
+                assert_eq!(bench.admit(), []);
+            }
+            for (number, notice) in notices.into_iter().enumerate() {
+                decisions.extend(bench.say(number, notice));
+            }
+            if !waits_before {
+                decisions.extend(bench.admit());
+            }
+            let expected: Vec<SlotDecision> =
+                refused.then_some(SlotDecision::Refuse(bench.next_ticket)).into_iter().collect();
+            assert_eq!(decisions, expected, "{name}, waits before: {waits_before}");
+        }
+    }
+}
+
+/// Guards against an outage that is taken for granted while one target says nothing.
+#[test]
+fn an_outage_needs_the_word_of_every_target() {
+    let leaving = ClosedTargets { leaving: 1, ..ClosedTargets::default() };
+    let paused = |n: u64| ClosedTargets { leaving: 0, paused: 1, pause_left: Some(ms(n)) };
+    let cases = [
+        ("no targets", vec![], 0, None),
+        ("nobody has said anything", vec![], 2, None),
+        ("one of two leaves", vec![leaving], 2, None),
+        ("one of two is paused", vec![paused(10)], 2, None),
+        ("all leave", vec![leaving, leaving], 2, Some(Outage::AllLeaving)),
+        ("one leaves, one is paused", vec![leaving, paused(10)], 2, Some(Outage::Paused(ms(10)))),
+        ("the first pause counts", vec![paused(30), paused(20)], 2, Some(Outage::Paused(ms(20)))),
+    ];
+    for (name, closed, count, expected) in cases {
+        let closed = closed.into_iter().fold(ClosedTargets::default(), ClosedTargets::merge);
+        assert_eq!(closed.outage(count), expected, "{name}");
+    }
+}
--- a/tests/notices.rs
+++ b/tests/notices.rs
@@ -2,13 +2,17 @@
 
 mod common;
 
-use common::{Call, Fleet, desk_document, standin};
+use std::time::{Duration, Instant};
+
+use common::{Call, Fleet, TestResponse, desk_document, standin};
 use shallotstall::standin::{StoreFaults, StoreMode, TargetFaults};
 
 const VMS: [&str; 2] = ["n1-a", "n1-b"];
 const TARGETS: usize = 3;
 /// Requests of one round, sent one after the other.
 const ROUND: usize = 60;
+/// Longest wait for a slot in [`patient_document`].
+const QUEUE_TIMEOUT: Duration = Duration::from_secs(30);
 
 fn faults() -> TargetFaults {
     TargetFaults { work_ms: 2, ..TargetFaults::default() }
@@ -22,11 +26,15 @@
     TargetFaults { pause: seconds.to_owned(), ..faults() }
 }
 
+fn document() -> String {
+    desk_document(&["n1"], 2_000.0, 2_000)
+}
+
 /// Starts a fleet whose targets all serve, and stops its store.
-async fn fleet_without_store() -> (Fleet, String) {
+async fn fleet_without_store(document: &str) -> (Fleet, String) {
     let mut fleet = Fleet::new(&[("desk", "n1", 8); TARGETS]).await;
     fleet.start_vms(&VMS).await;
-    fleet.apply("n1-a", "desk", &desk_document(&["n1"], 2_000.0, 2_000)).await;
+    fleet.apply("n1-a", "desk", document).await;
     let key = fleet.issue("n1-a", "a").await;
     for vm in VMS {
         fleet.await_response(vm, "/desk/read", &key, 200).await;
@@ -67,7 +75,7 @@
 /// A release with the store down: the targets' own words are the only ones.
 #[tokio::test]
 async fn a_target_that_says_that_it_leaves_gets_no_requests_from_then_on() {
-    let (mut fleet, key) = fleet_without_store().await;
+    let (mut fleet, key) = fleet_without_store(&document()).await;
     let mut late = Vec::new();
     for number in 0..TARGETS - 1 {
         fleet.target_faults(number, &leaving()).await;
@@ -94,7 +102,7 @@
 
 #[tokio::test]
 async fn a_target_that_asks_for_a_pause_gets_no_requests_until_it_is_over() {
-    let (fleet, key) = fleet_without_store().await;
+    let (fleet, key) = fleet_without_store(&document()).await;
     fleet.target_faults(0, &pausing("120")).await;
     // A full window is under way when the first 503 comes.
     let burst = (0..16).map(|n| fleet.send(VMS[n % 2], Call::get("/desk/read").key(&key)));
@@ -117,3 +125,58 @@
         })
         .await;
 }
+
+/// A document whose requests may wait for long, so that a test can tell what is rejected at once.
+fn patient_document() -> String {
+    let text = document().replacen("answer_ms = 2000", "answer_ms = 60000", 1);
+    text + "[limits]\nqueue_ms = 30000\nretries = 1.0\n"
+}
+
+/// Callers learn at once that no target takes requests, and from when one may.
+#[tokio::test]
+async fn a_request_that_no_target_takes_is_rejected_at_once() {
+    let (fleet, key) = fleet_without_store(&patient_document()).await;
+    let start = Instant::now();
+    for number in 0..TARGETS {
+        fleet.target_faults(number, &pausing("300")).await;
+    }
+    for vm in VMS {
+        let rejected = await_reason(&fleet, vm, &key, "paused").await;
+        let retry = Duration::from_millis(rejected.body["retry_ms"].as_u64().expect("a time"));
+        let asked = Duration::from_secs(300);
+        assert!(retry + start.elapsed() >= asked, "{retry:?} is before the pauses end");
+        assert!(retry <= asked.mul_f64(1.2) + Duration::from_secs(1), "{retry:?}");
+        assert_eq!(rejected.run_status(), "not-run");
+    }
+}
+
+#[tokio::test]
+async fn a_request_is_rejected_at_once_if_all_targets_leave() {
+    let (fleet, key) = fleet_without_store(&patient_document()).await;
+    for number in 0..TARGETS {
+        fleet.target_faults(number, &leaving()).await;
+    }
+    for vm in VMS {
+        let rejected = await_reason(&fleet, vm, &key, "no-target").await;
+        assert_eq!(rejected.body["detail"], "every target is leaving");
+        assert_eq!(rejected.run_status(), "not-run");
+    }
+}
+
+/// Sends requests until one is rejected with this reason before it has reached a target. None waits
+/// for its time in the queue.
+async fn await_reason(fleet: &Fleet, vm: &str, key: &str, reason: &str) -> TestResponse {
+    let mut found = None;
+    fleet
+        .eventually("a request is rejected", async || {
+            let sent = Instant::now();
+            let response = fleet.send(vm, Call::get("/desk/read").key(key)).await;
+            let response = response.expect("a response");
+            assert!(sent.elapsed() < QUEUE_TIMEOUT / 2, "it waited: {}", response.text);
+            let is_sought = response.reason() == reason && response.run_status() == "not-run";
+            found = is_sought.then_some(response);
+            is_sought
+        })
+        .await;
+    found.expect("a rejection")
+}
