The daemon's explain names the targets that were passed over by their own word

What operators saw: the record of a request did not tell why a target got nothing.

The owner of the targets adds to its answer which of them take no requests, what they have said and when.

--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -82,7 +82,11 @@
         history.attempts += 1;
         history.outage = None;
         let answer = send(node, admitted, &candidate, &history, left).await;
-        let text = format!("{:?} by {} {}", decode_outcome(&answer), answer.target, answer.cause);
+        let mut text =
+            format!("{:?} by {} {}", decode_outcome(&answer), answer.target, answer.cause);
+        if !answer.passed_over.is_empty() {
+            text.push_str(&format!("; passed over: {}", answer.passed_over));
+        }
         builder.add_step(
             "forward",
             format!("to {} in {}: {text}", candidate.vm, candidate.place.zone),
--- a/src/node/egress.rs
+++ b/src/node/egress.rs
@@ -25,6 +25,9 @@
 use super::trace::{SpanContext, SpanEnd};
 use super::{Node, small_rng};
 
+/// Most targets that an answer names as passed over.
+const PASSED_OVER_MAX: usize = 8;
+
 /// The targets that this VM owns, with the requests that wait for their slots.
 #[derive(Default)]
 pub(crate) struct Egress {
@@ -98,6 +101,15 @@
         inner.dispatchers.get(service).map(|d| d.closed_targets(now)).unwrap_or_default()
     }
 
+    /// The same targets by name, each with what it has said.
+    fn passed_over(&self, now: Instant, service: &ServiceId) -> String {
+        let inner = self.inner.lock().expect("egress lock");
+        let Some(dispatcher) = inner.dispatchers.get(service) else { return String::new() };
+        let named = dispatcher.notices(now).take(PASSED_OVER_MAX);
+        let named: Vec<String> = named.map(|(id, notice)| format!("{id} {notice}")).collect();
+        named.join("; ")
+    }
+
     /// The services that have or had targets here.
     pub(crate) fn services(&self) -> Vec<ServiceId> {
         self.inner.lock().expect("egress lock").dispatchers.keys().cloned().collect()
@@ -211,7 +223,8 @@
     let start = Instant::now();
     let parent = SpanContext::parse(&forward.traceparent);
     let span = parent.as_ref().map_or_else(SpanContext::root, SpanContext::child);
-    let answer = run_in_span(node, &forward, &span, start).await;
+    let mut answer = run_in_span(node, &forward, &span, start).await;
+    answer.passed_over = node.egress.passed_over(Instant::now(), &ServiceId::new(&forward.service));
     let outcome = format!("{:?} {}", crate::peer::decode_outcome(&answer), answer.cause);
     let parent = parent.map_or_else(String::new, |p| p.span);
     let (request, peer) = (forward.request.as_str(), answer.target.as_str());
--- a/src/node/target_call.rs
+++ b/src/node/target_call.rs
@@ -132,7 +132,7 @@
         headers: sanitize::caller_headers(response.headers()),
         body: response.into_body(),
         target: target.to_owned(),
-        cause: String::new(),
+        ..Answer::default()
     }
 }
 
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -390,6 +390,9 @@
     /// The step and cause of a failure.
     #[prost(string, tag = "6")]
     pub cause: String,
+    /// The targets that got no requests by their own word, and since when.
+    #[prost(string, tag = "7")]
+    pub passed_over: String,
 }
 
 /// How a forwarded request ended.
--- a/src/targets/dispatcher.rs
+++ b/src/targets/dispatcher.rs
@@ -122,6 +122,12 @@
         closed.map(|n| n.as_closed()).fold(ClosedTargets::default(), ClosedTargets::merge)
     }
 
+    /// The targets that take no requests by their own word.
+    pub fn notices(&self, now: Instant) -> impl Iterator<Item = (&TargetId, NoticeInForce)> {
+        let tracked = self.targets.values().map(|t| &t.target);
+        tracked.filter_map(move |t| Some((&t.id, self.notices.get(t)?.in_force(now)?)))
+    }
+
     /// Number of running requests.
     pub fn busy(&self) -> u32 {
         self.targets.values().map(|t| t.busy).sum()
--- a/tests/notices.rs
+++ b/tests/notices.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use common::{Call, Fleet, TestResponse, desk_document, standin};
+use http::Method;
 use shallotstall::standin::{StoreFaults, StoreMode, TargetFaults};
 
 const VMS: [&str; 2] = ["n1-a", "n1-b"];
@@ -180,3 +181,32 @@
         .await;
     found.expect("a rejection")
 }
+
+/// Operators see why a target gets no requests.
+#[tokio::test]
+async fn records_status_and_metrics_name_a_notice() {
+    let (fleet, key) = fleet_without_store(&document()).await;
+    fleet.target_faults(0, &leaving()).await;
+    fleet.target_faults(1, &pausing("300")).await;
+    for text in ["t0 leaving, said ", "t1 paused, asked "] {
+        fleet
+            .eventually("the record of a request names the target", async || {
+                let vm = VMS[0];
+                let response = fleet.send(vm, Call::get("/desk/read").key(&key)).await;
+                let path = format!("/v1/requests/{}", response.expect("a response").request);
+                fleet.operator(vm, Method::GET, &path, "").await.text.contains(text)
+            })
+            .await;
+    }
+    let (mut status, mut metrics) = (String::new(), String::new());
+    for vm in VMS {
+        status += &fleet.status(vm).await.to_string();
+        metrics += &fleet.operator(vm, Method::GET, "/metrics", "").await.text;
+    }
+    assert!(status.contains("Leaving, 0 of 8 busy; leaving, said "), "{status}");
+    assert!(status.contains("Paused, 0 of 8 busy; paused, asked "), "{status}");
+    for kind in ["leaving", "pause"] {
+        let line = format!("shallotstall_target_notices_total{{kind=\"{kind}\"}} 1\n");
+        assert_eq!(metrics.matches(&line).count(), 1, "{line}");
+    }
+}
