--- a/src/standin/target.rs
+++ b/src/standin/target.rs
@@ -29,6 +29,8 @@
 const WITHHELD_RESPONSE_DELAY: Duration = Duration::from_secs(120);
 /// Header with a request's id, which each response echoes.
 const REQUEST_ID_HEADER: &str = "x-request-id";
+/// The id that responses echo under the fault `stale_id`.
+const STALE_ID: &str = "of-an-earlier-request";
 /// `Retry-After` of a request that is shed, in seconds, unless a fault names another one.
 const DEFAULT_PAUSE: &str = "1";
 
@@ -55,6 +57,8 @@
     pub leaving: bool,
     /// Every request is shed with this value of `Retry-After`, unless the text is empty.
     pub pause: String,
+    /// Responses echo the id of another request, as late ones do.
+    pub stale_id: bool,
 }
 
 /// A request that the target ran.
@@ -139,8 +143,14 @@
             _ => state.run(&request, &faults).await,
         };
         let headers = response.headers_mut();
-        if let Some(id) = request.headers().get(REQUEST_ID_HEADER) {
-            headers.insert(REQUEST_ID_HEADER, id.clone());
+        match request.headers().get(REQUEST_ID_HEADER) {
+            Some(_) if faults.stale_id => {
+                headers.insert(REQUEST_ID_HEADER, HeaderValue::from_static(STALE_ID));
+            }
+            Some(id) => {
+                headers.insert(REQUEST_ID_HEADER, id.clone());
+            }
+            None => {}
         }
         if faults.leaving {
             headers.insert(LEAVING_HEADER, HeaderValue::from_static("1"));
--- a/tests/notices.rs
+++ b/tests/notices.rs
@@ -117,14 +117,17 @@
     println!("requests at a target in its pause: {late} of {ROUND}");
     assert_eq!(late, 0, "of {ROUND}");
 
-    // A value that makes no sense is no pause.
-    fleet.target_faults(1, &pausing("soon")).await;
-    fleet
-        .eventually("the target gets more requests", async || {
-            send_round(&fleet, &key).await;
-            fleet.shed(1).await > 3
-        })
-        .await;
+    // A value that makes no sense is no pause, and a response to another request says nothing.
+    let stale = TargetFaults { stale_id: true, ..pausing("120") };
+    for (number, faults) in [(1, pausing("soon")), (2, stale)] {
+        fleet.target_faults(number, &faults).await;
+        fleet
+            .eventually("the target gets more requests", async || {
+                send_round(&fleet, &key).await;
+                fleet.shed(number).await > 3
+            })
+            .await;
+    }
 }
 
 /// A document whose requests may wait for long, so that a test can tell what is rejected at once.
