--- a/src/node/egress.rs
+++ b/src/node/egress.rs
@@ -15,15 +15,19 @@
 use crate::route::LinkBudget;
 use crate::spread::ConfigView;
 use crate::targets::{
-    AssignedSlot, AttemptResult, DispatchLimits, Dispatcher, NoticeInForce, OwnedTarget,
-    QueuedRequest, SlotDecision, TargetState,
+    AssignedSlot, AttemptResult, ClosedTargets, DispatchLimits, Dispatcher, OwnedTarget,
+    QueuedRequest, SlotDecision,
 };
 use crate::zone::Roster;
 
+use super::status::TargetStatus;
 use super::target_call::{failed_answer, send};
 use super::trace::{SpanContext, SpanEnd};
 use super::{Node, small_rng};
 
+/// Most targets that an answer names as passed over.
+const PASSED_OVER_MAX: usize = 8;
+
 /// The targets that this VM owns, with the requests that wait for their slots.
 #[derive(Default)]
 pub(crate) struct Egress {
@@ -33,17 +37,6 @@
     unprobed: AtomicBool,
 }
 
-/// A target as its dispatcher knows it.
-pub(crate) struct TargetStatus {
-    pub(crate) service: ServiceId,
-    pub(crate) target: OwnedTarget,
-    pub(crate) state: TargetState,
-    /// Requests of this VM that run there.
-    pub(crate) busy: u32,
-    /// What it says of itself, if that is in force.
-    pub(crate) notice: Option<NoticeInForce>,
-}
-
 #[derive(Default)]
 struct Inner {
     dispatchers: BTreeMap<ServiceId, Dispatcher>,
@@ -94,11 +87,29 @@
         let inner = self.inner.lock().expect("egress lock");
         let load = |(name, dispatcher): (&ServiceId, &Dispatcher)| {
             let (slots, busy, queued) = dispatcher.load(now);
-            ServiceLoad { service: name.to_string(), slots, busy, queued }
+            let ClosedTargets { leaving, paused, pause_left } = dispatcher.closed_targets(now);
+            let pause_left_ms = pause_left.map_or(0, |left| left.as_millis() as u64);
+            let service = name.to_string();
+            ServiceLoad { service, slots, busy, queued, leaving, paused, pause_left_ms }
         };
         inner.dispatchers.iter().map(load).collect()
     }
 
+    /// The targets of a service here that take no requests by their own word.
+    pub(crate) fn closed_targets(&self, now: Instant, service: &ServiceId) -> ClosedTargets {
+        let inner = self.inner.lock().expect("egress lock");
+        inner.dispatchers.get(service).map(|d| d.closed_targets(now)).unwrap_or_default()
+    }
+
+    /// The same targets by name, each with what it has said.
+    fn passed_over(&self, now: Instant, service: &ServiceId) -> String {
+        let inner = self.inner.lock().expect("egress lock");
+        let Some(dispatcher) = inner.dispatchers.get(service) else { return String::new() };
+        let named = dispatcher.notices(now).take(PASSED_OVER_MAX);
+        let named: Vec<String> = named.map(|(id, notice)| format!("{id} {notice}")).collect();
+        named.join("; ")
+    }
+
     /// The services that have or had targets here.
     pub(crate) fn services(&self) -> Vec<ServiceId> {
         self.inner.lock().expect("egress lock").dispatchers.keys().cloned().collect()
@@ -212,7 +223,8 @@
     let start = Instant::now();
     let parent = SpanContext::parse(&forward.traceparent);
     let span = parent.as_ref().map_or_else(SpanContext::root, SpanContext::child);
-    let answer = run_in_span(node, &forward, &span, start).await;
+    let mut answer = run_in_span(node, &forward, &span, start).await;
+    answer.passed_over = node.egress.passed_over(Instant::now(), &ServiceId::new(&forward.service));
     let outcome = format!("{:?} {}", crate::peer::decode_outcome(&answer), answer.cause);
     let parent = parent.map_or_else(String::new, |p| p.span);
     let (request, peer) = (forward.request.as_str(), answer.target.as_str());
