--- a/src/front/lag.rs
+++ b/src/front/lag.rs
@@ -34,8 +34,7 @@
         Self { readings: Mutex::default(), ticks: Mutex::new(LoopTicks::new(start)) }
     }
 
-    /// Records that a timer fired at `now` that was due at `due`, and that the loop has handled since
-    /// what it found with it.
+    /// Records that a timer fired at `now` that was due at `due`.
     pub(crate) fn record(&self, due: Duration, now: Duration) {
         self.ticks.lock().expect("ticks lock").record(now);
         let mut readings = self.readings.lock().expect("lag lock");
@@ -63,9 +62,6 @@
     loop {
         let due = clock::now() + TICK;
         tokio::time::sleep(TICK).await;
-        let now = clock::now();
-        // After a pause, the loop finds a signal together with this timer. It is handled first.
-        tokio::task::yield_now().await;
-        front.lag.record(due, now);
+        front.lag.record(due, clock::now());
     }
 }
--- a/src/steer/signal.rs
+++ b/src/steer/signal.rs
@@ -21,25 +21,28 @@
     }
 }
 
-/// When the event loop was last known to handle what is pending.
+/// The times at which a periodic timer of the event loop fired last.
 #[derive(Clone, Copy, Debug)]
 pub struct LoopTicks {
     last: Duration,
+    before: Duration,
 }
 
 impl LoopTicks {
     /// An event loop that runs since `start`.
     pub fn new(start: Duration) -> Self {
-        Self { last: start }
+        Self { last: start, before: start }
     }
 
-    /// Records that the loop has handled all that was pending at `at`.
-    pub fn record(&mut self, at: Duration) {
-        self.last = at;
+    /// Records that the timer fired at `now`.
+    pub fn record(&mut self, now: Duration) {
+        self.before = self.last;
+        self.last = now;
     }
 
-    /// When a signal was sent that is handled at `now`.
+    /// When a signal was sent that is handled at `now`. The last tick doesn't count: after a pause, the
+    /// timer and the signal are found in one pass of the loop, and the timer may be handled first.
     pub fn signal_window(&self, now: Duration) -> SignalWindow {
-        SignalWindow { earliest: self.last.min(now), latest: now }
+        SignalWindow { earliest: self.before.min(now), latest: now }
     }
 }
