--- a/src/front/in_flight.rs
+++ b/src/front/in_flight.rs
@@ -2,20 +2,16 @@
 //! one that is cut leaves a line in the log that says how far it had come.
 
 use std::collections::BTreeMap;
-use std::pin::Pin;
 use std::sync::{Arc, Mutex};
-use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
-use bytes::Bytes;
 use gotham::helpers::http::Body;
 use http::Response;
-use http_body_util::BodyExt;
-use hyper::body::{Frame, SizeHint};
 use macro_rules_attribute::apply;
 use serde::Serialize;
 
 use crate::common::plain;
+use crate::net::hold_until_sent;
 
 /// How far a request has come.
 #[apply(plain!)]
@@ -133,30 +129,5 @@
 /// Keeps a request in flight until the body of its response has been passed to its connection.
 pub(crate) fn track(response: Response<Body>, guard: InFlightGuard) -> Response<Body> {
     guard.update(|r| r.step = RequestStep::Response);
-    response.map(|body| TrackedBody { body, _guard: guard }.boxed_unsync())
-}
-
-struct TrackedBody {
-    body: Body,
-    _guard: InFlightGuard,
-}
-
-impl hyper::body::Body for TrackedBody {
-    type Data = Bytes;
-    type Error = <Body as hyper::body::Body>::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
-        Poll::Ready(ready!(Pin::new(&mut self.body).poll_frame(cx)))
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
+    hold_until_sent(response, guard)
 }
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -22,7 +22,7 @@
 use super::linger;
 use super::progress::{REQUEST_WAIT, RequestGuard, SharedProgress};
 use super::respond::{self, Respond};
-use super::tracked::{TrackedStream, track_response};
+use super::tracked::{TrackedStream, hold_until_sent};
 
 /// Default limit of a request line with its headers, in bytes.
 const DEFAULT_MAX_HEADER_BYTES: usize = 400 << 10;
@@ -152,5 +152,5 @@
     if state.closing.load(Ordering::Relaxed) {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    Ok(track_response(response, guard))
+    Ok(hold_until_sent(response, guard))
 }
--- a/src/net/tracked.rs
+++ b/src/net/tracked.rs
@@ -12,7 +12,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::Instant;
 
-use super::progress::{RequestGuard, SharedProgress};
+use super::progress::SharedProgress;
 
 /// A stream that records when bytes pass.
 pub(super) struct TrackedStream<S> {
@@ -79,17 +79,21 @@
     }
 }
 
-/// Counts a request as unanswered until the body of its response has been passed to the connection.
-pub(super) fn track_response(response: Response<Body>, guard: RequestGuard) -> Response<Body> {
-    response.map(|body| TrackedBody { body, _guard: guard }.boxed_unsync())
+/// Keeps `guard` until the body of the response has been passed to the connection.
+pub(crate) fn hold_until_sent(
+    response: Response<Body>,
+    guard: impl Send + Unpin + 'static,
+) -> Response<Body> {
+    response.map(|body| GuardedBody { body, _guard: guard }.boxed_unsync())
 }
 
-struct TrackedBody {
+/// A body that holds a value until it is dropped.
+struct GuardedBody<G> {
     body: Body,
-    _guard: RequestGuard,
+    _guard: G,
 }
 
-impl hyper::body::Body for TrackedBody {
+impl<G: Unpin> hyper::body::Body for GuardedBody<G> {
     type Data = Bytes;
     type Error = <Body as hyper::body::Body>::Error;
 
