Tests: the second signal is sent once the first has been handled

a_second_signal_ends_the_daemon_at_once failed twice under load (exit code not captured). Cause: it sent both SIGTERMs 50 ms apart, and the system merges signals that are pending at the same time. Shown by a trial: two SIGTERMs 50 ms apart while the daemon is paused, then it goes on: exit code 0, where 2 is expected. The test now waits until the daemon is no longer ready, then sends exactly one more; it checks the same exit code.

--- a/tests/stops.rs
+++ b/tests/stops.rs
@@ -5,8 +5,9 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use common::{Call, Fleet, TestResponse, desk_document};
-use http::Method;
+use http::{Method, Request};
 use serde_json::json;
 use shallotstall::standin::TargetFaults;
 
@@ -133,9 +134,15 @@
 async fn a_second_signal_ends_the_daemon_at_once() {
     let (mut fleet, _) = fleet().await;
     let mut stopped = fleet.vms.remove("n1-c").expect("a running VM");
-    stopped.signal("TERM");
-    // The system merges signals that are pending at the same time.
-    tokio::time::sleep(Duration::from_millis(50)).await;
+    // The system merges signals that are pending at the same time, so the first must have been handled.
+    let ready = format!("http://{}/.shallot/ready", stopped.addr("callers"));
+    fleet
+        .eventually("the daemon is leaving", async || {
+            let request = Request::get(&ready).body(Bytes::new()).expect("a request");
+            let response = fleet.client.send_unpooled(request, Duration::from_secs(5)).await;
+            response.map_or(true, |r| r.status() != 200)
+        })
+        .await;
     stopped.signal("TERM");
     assert_eq!(stopped.wait().await, 2);
 }
