Only an exit before the deadline lets a caller retry at once

Review: a stopping VM answered Retry-After 0 also where the caller's own deadline, not the exit, was what a busy target would miss, so that callers would press other VMs for nothing. It is told as busy then.

--- a/src/front/attempt.rs
+++ b/src/front/attempt.rs
@@ -54,8 +54,10 @@
     loop {
         let pick = match pick(front, &admitted, &history) {
             PickResult::Target(pick) => pick,
-            PickResult::Busy(late) if front.is_leaving() && late > Duration::ZERO => {
-                let detail = "the best target would respond after the exit or the deadline";
+            PickResult::Busy(late)
+                if late > Duration::ZERO && front.exits_before(admitted.deadline) =>
+            {
+                let detail = "the best target would respond after this VM's exit";
                 return Err(history.error("stopping", detail).retry_at_once());
             }
             PickResult::Busy(late) => {
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -109,6 +109,11 @@
         deadline.min(exit).saturating_sub(now)
     }
 
+    /// True if this VM is stopping and exits before `deadline`.
+    pub(crate) fn exits_before(&self, deadline: Duration) -> bool {
+        self.stop.get().is_some_and(|stop| stop.exit_at() < deadline)
+    }
+
     /// True if a request that times out at `deadline` may be sent to another target now.
     pub(crate) fn may_retry(&self, now: Duration, deadline: Duration) -> bool {
         self.stop.get().is_none_or(|stop| stop.may_retry(now, deadline))
