The daemon's refusal names the last reason, not an earlier outage

Review: a request that waited out an outage of its targets, and then found a VM but no time, was refused as paused with that outage's Retry-After.

--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -72,6 +72,7 @@
     let mut history = AttemptHistory::default();
     let sample = rand::rng().random_range(0.0..1.0);
     while history.attempts < MAX_ATTEMPTS {
+        history.outage = None;
         let now = Instant::now();
         let left = admitted.left(now);
         if left.is_zero() {
@@ -94,7 +95,6 @@
             break;
         }
         history.attempts += 1;
-        history.outage = None;
         let answer = send(node, admitted, &candidate, &history, left).await;
         let mut text =
             format!("{:?} by {} {}", decode_outcome(&answer), answer.target, answer.cause);
