--- a/tests/stops.rs
+++ b/tests/stops.rs
@@ -134,6 +134,7 @@
 async fn a_second_signal_ends_the_daemon_at_once() {
     let (mut fleet, _) = fleet().await;
     let mut stopped = fleet.vms.remove("n1-c").expect("a running VM");
+    stopped.signal("TERM");
     // The system merges signals that are pending at the same time, so the first must have been handled.
     let ready = format!("http://{}/.shallot/ready", stopped.addr("callers"));
     fleet
