--- a/tests/dispatch_notices.rs
+++ b/tests/dispatch_notices.rs
@@ -27,7 +27,7 @@
 }
 
 /// A dispatcher with targets, at a time of the test's own.
-struct Bench {
+struct Fixture {
     dispatcher: Dispatcher,
     owned: Vec<OwnedTarget>,
     now: Instant,
@@ -35,7 +35,7 @@
     next_ticket: u64,
 }
 
-impl Bench {
+impl Fixture {
     /// Targets `t0`, `t1` and so on, which all serve with all their slots.
     fn new(count: u16) -> Self {
         let now = Instant::now();
@@ -46,16 +46,16 @@
             leaving: false,
             first_seen: now,
         };
-        let mut bench = Self {
+        let mut fixture = Self {
             dispatcher: Dispatcher::new(LIMITS),
             owned: (0..count).map(owned).collect(),
             now: now + ms(60_000),
             rng: SmallRng::seed_from_u64(7),
             next_ticket: 0,
         };
-        bench.sync();
-        (0..count as usize).for_each(|n| bench.probe(n));
-        bench
+        fixture.sync();
+        (0..count as usize).for_each(|n| fixture.probe(n));
+        fixture
     }
 
     fn sync(&mut self) {
@@ -125,40 +125,40 @@
 
 #[test]
 fn a_leaving_target_gets_nothing_more_whatever_the_list_says() {
-    let mut bench = Bench::new(2);
-    assert_eq!(bench.started(0), SLOTS as usize);
-    bench.say(0, LEAVING);
+    let mut fixture = Fixture::new(2);
+    assert_eq!(fixture.started(0), SLOTS as usize);
+    fixture.say(0, LEAVING);
     for _ in 0..100 {
-        bench.advance(ms(500));
-        bench.sync();
-        bench.probe(0);
-        assert_eq!(bench.started(0), 0);
+        fixture.advance(ms(500));
+        fixture.sync();
+        fixture.probe(0);
+        assert_eq!(fixture.started(0), 0);
     }
-    assert_eq!(bench.started(1), SLOTS as usize, "the other one serves");
-    assert_eq!(bench.notice(0), Some(NoticeInForce::Leaving { age: ms(50_000) }));
+    assert_eq!(fixture.started(1), SLOTS as usize, "the other one serves");
+    assert_eq!(fixture.notice(0), Some(NoticeInForce::Leaving { age: ms(50_000) }));
 }
 
 /// Guards against a notice that is lost when the ownership moves away and comes back.
 #[test]
 fn a_notice_outlives_the_ownership() {
     for notice in [LEAVING, pause(30_000)] {
-        let mut bench = Bench::new(2);
-        bench.say(0, notice);
-        let owned = bench.owned.clone();
-        bench.owned.remove(0);
-        bench.sync();
-        bench.advance(ms(5_000));
-        bench.owned = owned;
-        bench.sync();
-        bench.probe(0);
-        assert_eq!(bench.started(0), 0, "{notice:?}");
+        let mut fixture = Fixture::new(2);
+        fixture.say(0, notice);
+        let owned = fixture.owned.clone();
+        fixture.owned.remove(0);
+        fixture.sync();
+        fixture.advance(ms(5_000));
+        fixture.owned = owned;
+        fixture.sync();
+        fixture.probe(0);
+        assert_eq!(fixture.started(0), 0, "{notice:?}");
     }
 }
 
 /// Guards against a target that is out for good because an earlier one at its address has left.
 #[test]
 fn a_notice_ends_with_the_process_that_gave_it() {
-    type Restart = fn(&mut Bench);
+    type Restart = fn(&mut Fixture);
     let restarts: [(&str, Restart); 4] = [
         ("its port refuses connections", |b| {
             let id = b.owned[0].id.clone();
@@ -179,17 +179,17 @@
     ];
     for (name, restart) in restarts {
         for notice in [LEAVING, pause(30_000)] {
-            let mut bench = Bench::new(2);
-            let id = bench.owned[0].id.clone();
-            bench.dispatcher.record_start(bench.now, &id, SAID_MS - 100);
-            bench.say(0, notice);
-            bench.dispatcher.record_start(bench.now, &id, SAID_MS - 100);
-            assert_eq!(bench.started(0), 0, "the same process");
-            restart(&mut bench);
-            assert_eq!(bench.notice(0), None, "{name}");
-            assert_eq!(bench.started(0), 0, "{name}: no probe has succeeded yet");
-            bench.probe(0);
-            assert_eq!(bench.started(0), 1, "{name}: it is cold");
+            let mut fixture = Fixture::new(2);
+            let id = fixture.owned[0].id.clone();
+            fixture.dispatcher.record_start(fixture.now, &id, SAID_MS - 100);
+            fixture.say(0, notice);
+            fixture.dispatcher.record_start(fixture.now, &id, SAID_MS - 100);
+            assert_eq!(fixture.started(0), 0, "the same process");
+            restart(&mut fixture);
+            assert_eq!(fixture.notice(0), None, "{name}");
+            assert_eq!(fixture.started(0), 0, "{name}: no probe has succeeded yet");
+            fixture.probe(0);
+            assert_eq!(fixture.started(0), 1, "{name}: it is cold");
         }
     }
 }
@@ -197,39 +197,39 @@
 /// A response of the process at an earlier address says nothing of the one at the new address.
 #[test]
 fn a_late_notice_from_an_earlier_address_is_not_taken_for_the_new_process() {
-    let mut bench = Bench::new(1);
-    let earlier = bench.owned[0].addr;
-    bench.owned[0].addr.set_port(9_100);
-    bench.sync();
-    bench.probe(0);
-    bench.say_from(0, earlier, LEAVING);
-    assert_eq!(bench.notice(0), None);
-    assert!(bench.started(0) > 0);
+    let mut fixture = Fixture::new(1);
+    let earlier = fixture.owned[0].addr;
+    fixture.owned[0].addr.set_port(9_100);
+    fixture.sync();
+    fixture.probe(0);
+    fixture.say_from(0, earlier, LEAVING);
+    assert_eq!(fixture.notice(0), None);
+    assert!(fixture.started(0) > 0);
 }
 
 #[test]
 fn a_paused_target_gets_nothing_until_the_pause_is_over_and_returns_gradually() {
-    let mut bench = Bench::new(2);
-    bench.say(0, pause(2_000));
+    let mut fixture = Fixture::new(2);
+    fixture.say(0, pause(2_000));
     // A probe that was under way does not end the pause.
-    bench.probe(0);
+    fixture.probe(0);
     for _ in 0..4 {
-        assert_eq!(bench.started(0), 0);
-        bench.advance(ms(499));
-        bench.sync();
+        assert_eq!(fixture.started(0), 0);
+        fixture.advance(ms(499));
+        fixture.sync();
     }
-    assert!(matches!(bench.notice(0), Some(NoticeInForce::Paused { age, left })
+    assert!(matches!(fixture.notice(0), Some(NoticeInForce::Paused { age, left })
         if age == ms(1_996) && left >= ms(4)));
     // Longer by a random part of it, a tenth at most.
-    bench.advance(ms(204));
-    assert_eq!(bench.notice(0), None);
-    assert_eq!(bench.started(0), 0, "no probe has succeeded yet");
-    bench.probe(0);
+    fixture.advance(ms(204));
+    assert_eq!(fixture.notice(0), None);
+    assert_eq!(fixture.started(0), 0, "no probe has succeeded yet");
+    fixture.probe(0);
     let mut slots = Vec::new();
     for _ in 0..6 {
-        slots.push(bench.started(0));
-        bench.advance(ms(1_000));
-        bench.probe(0);
+        slots.push(fixture.started(0));
+        fixture.advance(ms(1_000));
+        fixture.probe(0);
     }
     assert_eq!(slots, [1, 2, 4, 6, 8, 10]);
 }
@@ -237,21 +237,21 @@
 /// Guards against a paused target that gets requests as the last resort.
 #[test]
 fn paused_targets_are_no_last_resort() {
-    let mut bench = Bench::new(3);
+    let mut fixture = Fixture::new(3);
     for n in 0..3 {
-        bench.say(n, pause(2_000));
+        fixture.say(n, pause(2_000));
     }
-    assert_eq!((0..3).map(|n| bench.started(n)).sum::<usize>(), 0);
-    assert_eq!(bench.dispatcher.load(bench.now).0, 0, "no slots are reported to peers");
+    assert_eq!((0..3).map(|n| fixture.started(n)).sum::<usize>(), 0);
+    assert_eq!(fixture.dispatcher.load(fixture.now).0, 0, "no slots are reported to peers");
 }
 
 #[test]
 fn a_shorter_pause_does_not_end_a_longer_one() {
-    let mut bench = Bench::new(1);
-    bench.say(0, pause(5_000));
-    bench.say(0, pause(100));
-    bench.advance(ms(4_900));
-    assert!(bench.notice(0).is_some());
+    let mut fixture = Fixture::new(1);
+    fixture.say(0, pause(5_000));
+    fixture.say(0, pause(100));
+    fixture.advance(ms(4_900));
+    assert!(fixture.notice(0).is_some());
 }
 
 /// Guards against requests that wait in the queue although no target can take them in time.
@@ -266,21 +266,21 @@
     ];
     for (name, notices, refused) in cases {
         for waits_before in [false, true] {
-            let mut bench = Bench::new(2);
+            let mut fixture = Fixture::new(2);
             let mut decisions = Vec::new();
             if waits_before {
                 // All slots are taken, so that it waits when the notices come.
-                (0..20).for_each(|_| assert_eq!(bench.admit().len(), 1));
-                assert_eq!(bench.admit(), []);
+                (0..20).for_each(|_| assert_eq!(fixture.admit().len(), 1));
+                assert_eq!(fixture.admit(), []);
             }
             for (number, notice) in notices.into_iter().enumerate() {
-                decisions.extend(bench.say(number, notice));
+                decisions.extend(fixture.say(number, notice));
             }
             if !waits_before {
-                decisions.extend(bench.admit());
+                decisions.extend(fixture.admit());
             }
             let expected: Vec<SlotDecision> =
-                refused.then_some(SlotDecision::Refuse(bench.next_ticket)).into_iter().collect();
+                refused.then_some(SlotDecision::Refuse(fixture.next_ticket)).into_iter().collect();
             assert_eq!(decisions, expected, "{name}, waits before: {waits_before}");
         }
     }
