--- a/src/front/in_flight.rs
+++ b/src/front/in_flight.rs
@@ -2,16 +2,20 @@
 //! one that is cut leaves a line in the log that says how far it had come.
 
 use std::collections::BTreeMap;
+use std::pin::Pin;
 use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll};
 use std::time::Duration;
 
+use bytes::Bytes;
 use gotham::helpers::http::Body;
 use http::Response;
+use http_body_util::BodyExt;
+use hyper::body::{Frame, SizeHint};
 use macro_rules_attribute::apply;
 use serde::Serialize;
 
 use crate::common::plain;
-use crate::net::hold_until_sent;
 
 /// How far a request has come.
 #[apply(plain!)]
@@ -23,6 +27,8 @@
     Admission,
     /// A target has it, or is being chosen.
     Target,
+    /// Its response is ready, and waits for its turn on the connection.
+    Queued,
     /// Its response is being written.
     Response,
 }
@@ -33,6 +39,7 @@
         match self {
             Self::Admission => "admission",
             Self::Target => "target",
+            Self::Queued => "queued",
             Self::Response => "response",
         }
     }
@@ -88,6 +95,14 @@
         self.0.lock().expect("in-flight lock").requests.len()
     }
 
+    /// Number of requests whose responses are ready and have not been written in full.
+    pub(crate) fn unsent(&self) -> usize {
+        let entries = self.0.lock().expect("in-flight lock");
+        let ready =
+            |e: &&Entry| matches!(e.record.step, RequestStep::Queued | RequestStep::Response);
+        entries.requests.values().filter(ready).count()
+    }
+
     /// Removes the requests in flight at `now`, and returns them, the oldest first.
     pub(crate) fn take_all(&self, now: Duration) -> Vec<InFlightRecord> {
         let mut entries = self.0.lock().expect("in-flight lock");
@@ -128,6 +143,34 @@
 
 /// Keeps a request in flight until the body of its response has been passed to its connection.
 pub(crate) fn track(response: Response<Body>, guard: InFlightGuard) -> Response<Body> {
-    guard.update(|r| r.step = RequestStep::Response);
-    hold_until_sent(response, guard)
+    guard.update(|r| r.step = RequestStep::Queued);
+    response.map(|body| TrackedBody { body, guard }.boxed_unsync())
+}
+
+/// The body of a response; its request is in flight until the body is dropped.
+struct TrackedBody {
+    body: Body,
+    guard: InFlightGuard,
+}
+
+impl hyper::body::Body for TrackedBody {
+    type Data = Bytes;
+    type Error = <Body as hyper::body::Body>::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        // The connection asks for the body only once it is the response's turn.
+        self.guard.update(|r| r.step = RequestStep::Response);
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
 }
--- a/src/front/metrics.rs
+++ b/src/front/metrics.rs
@@ -118,6 +118,7 @@
     usable: Gauge,
     members: Gauge,
     in_flight: Gauge,
+    unsent: Gauge,
     lag: Gauge,
     ahead_started: Counter,
     ahead_held: Counter,
@@ -141,6 +142,7 @@
             notices: Family::default(),
             aborted: Family::default(),
             in_flight: Gauge::default(),
+            unsent: Gauge::default(),
             lag: Gauge::default(),
             retries: Counter::default(),
             probes: Counter::default(),
@@ -176,6 +178,8 @@
         registry.register("requests_aborted", help, metrics.aborted.clone());
         let help = "Requests read and not yet answered in full";
         registry.register("requests_in_flight", help, metrics.in_flight.clone());
+        let help = "Requests whose responses are ready and have not been written in full";
+        registry.register("responses_unsent", help, metrics.unsent.clone());
         let help = "How late timers fire, at most in the last seconds, in milliseconds";
         registry.register("timer_lag_ms", help, metrics.lag.clone());
         registry.register("retries", "Requests sent once more", metrics.retries.clone());
@@ -265,6 +269,7 @@
     fn text(&self, front: &Front) -> String {
         let now = clock::now();
         self.in_flight.set(front.in_flight.len() as i64);
+        self.unsent.set(front.in_flight.unsent() as i64);
         self.lag.set(front.lag.max(now).as_millis() as i64);
         // -1 until the first routing table.
         let age = front.state.table_age(now).map_or(-1, |a| a.as_millis() as i64);
--- a/src/front/run.rs
+++ b/src/front/run.rs
@@ -62,6 +62,8 @@
     after_ms: u64,
     grace_ms: u64,
     in_flight: usize,
+    /// Requests whose responses are ready and have not been written in full.
+    unsent: usize,
     /// How late timers fired, at most in the last seconds.
     lag_ms: u64,
 }
@@ -192,6 +194,7 @@
             after_ms: now.saturating_sub(start).as_millis() as u64,
             grace_ms: self.config.bounds.grace.0.as_millis() as u64,
             in_flight: self.in_flight.len(),
+            unsent: self.in_flight.unsent(),
             lag_ms: self.lag.max(now).as_millis() as u64,
         }
     }
