Stops: a request that outlives the stop gets an error before the exit, and what is ready behind it is written

What callers saw: at a planned stop, pipelined requests whose targets had answered seconds before were closed without a response 0.95 of the grace period after the signal. Cause: responses leave in order, and nothing ended a request in front whose target was still at work. Change: StopSchedule::fail_at. From the last sixth of the grace period on, which the platform excuses, a request whose target is at work, and with others started behind it, gets a 504 (503 if it was sent to no target); all others 100 ms before the exit. net::Followers tells a handler whether requests behind it have been started.

--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -31,14 +31,15 @@
 mod source;
 mod state;
 
+use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
-use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
-use tokio::sync::Notify;
+use tokio::sync::{Notify, SetOnce};
 
 use crate::clock;
 use crate::model::Place;
+use crate::net::Followers;
 use crate::peer::Identity;
 use crate::steer::StopSchedule;
 
@@ -72,7 +73,7 @@
     /// When the process started, by [`crate::clock::now`].
     pub(crate) started: Duration,
     /// Set when a graceful stop has begun.
-    stop: OnceLock<StopSchedule>,
+    stop: SetOnce<StopSchedule>,
     /// Set while this VM's reads of the store fail.
     pub(crate) store_unreachable: AtomicBool,
     in_flight: InFlight,
@@ -119,8 +120,23 @@
         self.stop.get().is_none_or(|stop| stop.may_retry(now, deadline))
     }
 
+    /// Returns when a request must get an error since this VM is stopping; see [`StopSchedule::fail_at`].
+    pub(crate) async fn request_failed_by_stop(&self, followers: &Followers) {
+        let stop = self.stop.wait().await;
+        sleep_until(stop.fail_at(true)).await;
+        // From the start of a stop, no request is started ahead of its turn.
+        if !followers.any_started() {
+            sleep_until(stop.fail_at(false)).await;
+        }
+    }
+
     /// True if lookups may name this VM to callers and the readiness check passes.
     pub(crate) fn is_serving(&self) -> bool {
         !self.is_leaving() && self.state.index().is_some()
     }
 }
+
+/// Sleeps until `at`, by [`clock::now`].
+async fn sleep_until(at: Duration) {
+    tokio::time::sleep(at.saturating_sub(clock::now())).await;
+}
--- a/src/front/request.rs
+++ b/src/front/request.rs
@@ -120,6 +120,13 @@
     pub(crate) in_flight: InFlightGuard,
 }
 
+impl RequestLog {
+    /// True if a target may have run the request: an attempt is recorded before it is sent.
+    pub(crate) fn may_have_run(&self) -> bool {
+        !self.targets.is_empty()
+    }
+}
+
 /// The path and query as the caller sent them.
 pub(crate) fn path_and_query(head: &request::Parts) -> String {
     head.uri.path_and_query().map_or_else(|| "/".to_owned(), ToString::to_string)
--- a/src/front/run.rs
+++ b/src/front/run.rs
@@ -1,15 +1,15 @@
 //! Starts the front's servers and tasks, and stops them gracefully.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
-use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use anyhow::{Context, Result};
 use rand::Rng;
 use serde::Serialize;
 use tokio::net::TcpListener;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, SetOnce};
 
 use crate::clock;
 use crate::net::{AheadBudget, ConnectionLimits, Respond, Server};
@@ -28,7 +28,7 @@
 use super::sessions::{PeerRequestHandler, Sessions};
 use super::source::{Headers, Source};
 use super::state::FrontState;
-use super::{Front, news, probes, rates, shared_load};
+use super::{Front, news, probes, rates, shared_load, sleep_until};
 
 /// Interval of the checks whether requests are in flight.
 const IN_FLIGHT_POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -96,7 +96,7 @@
             decision_log: DecisionLogger::start(config.log.lines),
             metrics: FrontMetrics::new(&ahead),
             started: now,
-            stop: OnceLock::new(),
+            stop: SetOnce::new(),
             store_unreachable: AtomicBool::new(false),
             in_flight: InFlight::default(),
             lag: LagMeter::new(now),
@@ -161,7 +161,7 @@
         let _ = front.stop.set(stop);
         front.state.lock().fleet.mark_leaving(start, &front.me.vm);
         self.callers.close_connections();
-        tokio::time::sleep(stop.close_at().saturating_sub(clock::now())).await;
+        sleep_until(stop.close_at()).await;
         front.decision_log.log("closing", &front.stop_record(start, clock::now()));
         let left = stop.exit_at().saturating_sub(clock::now());
         let drained = async {
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -176,7 +176,7 @@
     let now = clock::now();
     match session {
         Some(session) => session.begin_turn(request, now),
-        None => RequestTurn { arrived: now, task: None, guard: (progress.start_request(), None) },
+        None => RequestTurn::alone(now, progress.start_request()),
     }
 }
 
@@ -189,7 +189,7 @@
     let HandlerContext { responder, from, closing, .. } = context;
     let mut response = match turn.task {
         Some(task) => task.await??,
-        None => respond::dispatch(request, from, responder, turn.arrived).await?,
+        None => respond::dispatch(request, from, responder, turn.position).await?,
     };
     let closing = closing.load(Ordering::Relaxed);
     match session {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -19,7 +19,8 @@
 pub(crate) use headers::{connection_options, header_text, is_hop_by_hop};
 pub use port::{PortState, check_port};
 pub use read_ahead::{
-    Admission, AheadBudget, OverlapKind, RequestHead, StartDecision, Step, Tracker, TrackerEvent,
+    Admission, AheadBudget, Followers, OverlapKind, RequestHead, StartDecision, Step, Tracker,
+    TrackerEvent,
 };
 pub use respond::{Arrival, Respond};
 pub use response::{bytes_response, full_body, json_response, text_response};
--- a/src/net/read_ahead/session.rs
+++ b/src/net/read_ahead/session.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,12 +15,13 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::net::progress::{RequestGuard, SharedProgress};
-use crate::net::respond::{self, Respond};
+use crate::net::respond::{self, Arrival, QueuePosition, Respond};
 
 use super::admission::{Admission, OverlapKind, StartDecision};
 use super::boundary::{RequestHead, Tracker, TrackerEvent};
 use super::budget::AheadBudget;
 use super::buffer::ReadBuffer;
+use super::followers::Followers;
 
 /// What the handlers of a connection need.
 #[derive(Clone)]
@@ -53,14 +54,22 @@
 
 /// A request whose turn has come.
 pub(crate) struct RequestTurn {
-    /// When its last byte was read, by [`crate::clock::now`]; now if that is not known.
-    pub(crate) arrived: Duration,
+    /// Its arrival is now if that is not known.
+    pub(crate) position: QueuePosition,
     /// Its handler's task, if it was started ahead.
     pub(crate) task: Option<HandlerTask>,
     /// Counts it as unanswered.
     pub(crate) guard: (RequestGuard, Option<TurnGuard>),
 }
 
+impl RequestTurn {
+    /// The turn of a request that came at `now` on a connection that is not read ahead.
+    pub(crate) fn alone(now: Duration, guard: RequestGuard) -> Self {
+        let position = QueuePosition { arrival: Arrival(now), followers: Followers::default() };
+        Self { position, task: None, guard: (guard, None) }
+    }
+}
+
 /// The request in its turn; dropped when its response has been passed to the connection.
 pub(crate) struct TurnGuard {
     session: Session,
@@ -77,7 +86,21 @@
 #[derive(Clone)]
 pub(crate) struct Session(Arc<Mutex<SessionState>>);
 
+/// A session that may have ended.
+#[derive(Clone, Debug)]
+pub(super) struct WeakSession(Weak<Mutex<SessionState>>);
+
+impl WeakSession {
+    /// True if a request behind `number` has been started and not answered.
+    pub(super) fn has_started_behind(&self, number: u64) -> bool {
+        let session = self.0.upgrade().map(Session);
+        session.is_some_and(|session| session.lock().admission.has_started_behind(number))
+    }
+}
+
 pub(super) struct SessionState {
+    /// The session that owns this state.
+    own: WeakSession,
     pub(super) buffer: ReadBuffer,
     tracker: Tracker,
     admission: Admission,
@@ -91,7 +114,8 @@
 impl Session {
     /// A session that holds at most `bytes_max` bytes, also of one head.
     pub(crate) fn new(bytes_max: usize, context: HandlerContext, budget: Arc<AheadBudget>) -> Self {
-        let state = SessionState {
+        let state = |own: &Weak<_>| SessionState {
+            own: WeakSession(own.clone()),
             buffer: ReadBuffer::new(bytes_max),
             tracker: Tracker::new(bytes_max),
             admission: Admission::default(),
@@ -100,7 +124,7 @@
             budget,
             held: false,
         };
-        Self(Arc::new(Mutex::new(state)))
+        Self(Arc::new_cyclic(|own| Mutex::new(state(own))))
     }
 
     pub(super) fn lock(&self) -> MutexGuard<'_, SessionState> {
@@ -116,8 +140,10 @@
             Some(started) => (Some(started.task), started.guard),
             None => (None, state.context.progress.start_request()),
         };
+        let followers = number.map(|number| state.followers(number)).unwrap_or_default();
+        let position = QueuePosition { arrival: Arrival(arrived), followers };
         let turn = number.map(|number| TurnGuard { session: self.clone(), number });
-        RequestTurn { arrived, task, guard: (guard, turn) }
+        RequestTurn { position, task, guard: (guard, turn) }
     }
 
     /// Decides whether the present response closes the connection; `wanted` says that it should. After
@@ -237,8 +263,13 @@
         }
     }
 
+    fn followers(&self, number: u64) -> Followers {
+        Followers::new(self.own.clone(), number)
+    }
+
     fn start(&mut self, number: u64, permit: OwnedSemaphorePermit) {
         self.admission.started(number);
+        let followers = self.followers(number);
         let Some(known) = self.known.get_mut(&number) else { return };
         let Some((_, arrived)) = known.end else { return };
         let mut request = Request::new(Empty::<Bytes>::new());
@@ -246,7 +277,8 @@
         *request.uri_mut() = known.head.uri.clone();
         *request.headers_mut() = known.head.headers.clone();
         let HandlerContext { responder, from, progress, .. } = &self.context;
-        let handler = respond::dispatch(request, *from, responder.clone(), arrived);
+        let position = QueuePosition { arrival: Arrival(arrived), followers };
+        let handler = respond::dispatch(request, *from, responder.clone(), position);
         let task = AbortOnDropHandle::new(tokio::spawn(handler));
         let guard = progress.start_request();
         known.started = Some(StartedRequest { task, guard, _permit: permit });
--- a/src/steer/stopping.rs
+++ b/src/steer/stopping.rs
@@ -25,6 +25,8 @@
 const MAY_CUT_FRACTION: f64 = 5.0 / 6.0;
 /// Time from a request's timeout to its response having been written.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(100);
+/// Time from a target's response to its arrival here, from another region too.
+const TARGET_MARGIN: Duration = Duration::from_millis(150);
 
 /// The schedule of a graceful stop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -37,6 +39,9 @@
     close_at: Duration,
     /// Until then, requests are accepted that finish before the exit.
     reject_at: Duration,
+    /// From then on, requests with responses behind them on their connection get an error. Never after
+    /// [`RESPONSE_MARGIN`] before the exit, when all others do.
+    unblock_at: Duration,
     /// Never before one of the others.
     exit_at: Duration,
 }
@@ -49,7 +54,8 @@
         let exit_at = after(EXIT_FRACTION);
         // The platform lets the process cut early requests only late in the grace period, whenever the
         // signal was sent.
-        let may_cut = signal.latest + grace.mul_f64(MAY_CUT_FRACTION) <= exit_at;
+        let may_cut_at = signal.latest + grace.mul_f64(MAY_CUT_FRACTION);
+        let may_cut = may_cut_at <= exit_at;
         let any_timeout = ANY_TIMEOUT_PERIOD.min(grace.mul_f64(ANY_TIMEOUT_FRACTION));
         let reject_at = after(REJECT_FRACTION);
         Self {
@@ -57,6 +63,7 @@
             any_timeout_until: signal.earliest + if may_cut { any_timeout } else { Duration::ZERO },
             close_at: (signal.latest + ACCEPT_PERIOD).min(reject_at),
             reject_at,
+            unblock_at: (may_cut_at + TARGET_MARGIN).min(last_response_at(exit_at)),
             exit_at,
         }
     }
@@ -66,7 +73,14 @@
     pub fn with_notice(start: Duration, notice: Duration, drain: Duration) -> Self {
         let close_at = start + notice;
         let exit_at = close_at + drain;
-        Self { start, any_timeout_until: start, close_at, reject_at: exit_at, exit_at }
+        Self {
+            start,
+            any_timeout_until: start,
+            close_at,
+            reject_at: exit_at,
+            unblock_at: last_response_at(exit_at),
+            exit_at,
+        }
     }
 
     /// True if lookups may name the VM to callers, and the readiness check passes.
@@ -100,8 +114,23 @@
         now < self.exit_at && self.finishes(deadline)
     }
 
+    /// When a request gets an error although its target may be at work: late enough that the platform lets
+    /// the process cut it, and early enough to be written before the exit. A request that `blocks_others`,
+    /// whose responses wait behind it on its connection, gets it earlier.
+    pub fn fail_at(&self, blocks_others: bool) -> Duration {
+        match blocks_others {
+            true => self.unblock_at,
+            false => last_response_at(self.exit_at),
+        }
+    }
+
     /// True if a request that times out at `deadline` is sure to end before the process exits.
     fn finishes(&self, deadline: Duration) -> bool {
         deadline.saturating_add(RESPONSE_MARGIN) <= self.exit_at
     }
 }
+
+/// When the last responses must be ready to be written before the exit.
+fn last_response_at(exit_at: Duration) -> Duration {
+    exit_at.saturating_sub(RESPONSE_MARGIN)
+}
