Stops: a request fails only if a response is ready behind it; more time to write the last ones

Change: all requests without a response get an error at 0.93 of the grace period, and the process exits at 0.98 (0.95 before, with errors 100 ms earlier); accepting and retrying are judged by the former. A request fails earlier only while a response behind it is ready (LaterRequests::any_ready), so fewer are broken off. A stop without cut requests logs no warning. Names: LaterRequests, RequestExtensions.

--- a/src/front/attempt.rs
+++ b/src/front/attempt.rs
@@ -65,7 +65,9 @@
         };
         front.metrics.record_choice(&pick);
         let outcome = attempt(front, &admitted, &pick, body, log).await?;
-        match next_step(front, &admitted, &pick, outcome, &mut history) {
+        let next = next_step(front, &admitted, &pick, outcome, &mut history);
+        log.maybe_run = history.maybe_run;
+        match next {
             Next::Respond(response) => return Ok(response),
             Next::Fail(reason) => return Err(history.error(reason, "")),
             Next::Retry => {}
@@ -95,6 +97,8 @@
     });
     let mut guard = AttemptGuard::new(front, pick);
     admitted.set_token_spent(true);
+    // Before sending: a stop of this VM, too, ends this function early.
+    log.maybe_run = true;
     let left = admitted.deadline.saturating_sub(clock::now());
     let Ok(outcome) = timeout(left, send(front, admitted, pick, body)).await else {
         guard.abort(true);
@@ -184,7 +188,7 @@
     ) -> Result<Pick, RequestError> {
         match result {
             PickResult::Target(pick) => Ok(pick),
-            PickResult::Busy(late) if late > Duration::ZERO && front.exits_before(deadline) => {
+            PickResult::Busy(late) if late > Duration::ZERO && front.ends_before(deadline) => {
                 let detail = "the best target would respond after this VM's exit";
                 Err(self.error("stopping", detail).retry_at_once())
             }
--- a/src/front/in_flight.rs
+++ b/src/front/in_flight.rs
@@ -95,7 +95,7 @@
         self.0.lock().expect("in-flight lock").requests.len()
     }
 
-    /// Number of requests whose responses are ready and have not been written in full.
+    /// Number of requests whose responses are ready and have not been passed to their connection in full.
     pub(crate) fn unsent(&self) -> usize {
         let entries = self.0.lock().expect("in-flight lock");
         let ready =
--- a/src/front/ingress.rs
+++ b/src/front/ingress.rs
@@ -15,7 +15,7 @@
 
 use crate::clock;
 use crate::model::ServiceId;
-use crate::net::{Arrival, Followers, Respond, full_body, header_text, text_response};
+use crate::net::{Arrival, LaterRequests, Respond, full_body, header_text, text_response};
 use crate::steer::{Access, Customer, PickRequest, Rank, TableIndex, WeightedService, name_hash};
 use crate::targets::CrashTracker;
 
@@ -80,11 +80,11 @@
         let arrived = request.extensions().get::<Arrival>().map_or(now, |arrival| arrival.0);
         let mut pending = PendingRequest::new(front, arrived);
         pending.log.wait = now.saturating_sub(arrived);
-        let followers = request.extensions().get::<Followers>().cloned().unwrap_or_default();
+        let later = request.extensions().get::<LaterRequests>().cloned().unwrap_or_default();
         let outcome = tokio::select! {
             biased;
             outcome = handle(front, request, arrived, &mut pending.log) => outcome,
-            () = front.request_failed_by_stop(&followers) => Err(stopped_error(&pending.log)),
+            () = front.wait_for_stop_failure(&later) => Err(stopped_error(&pending.log)),
         };
         let took = clock::now().saturating_sub(arrived);
         let mut response = match outcome {
@@ -301,10 +301,10 @@
     }
 }
 
-/// The error of a request that has not ended when the stop ends.
+/// The error of a request that has no response when the stop ends.
 fn stopped_error(log: &RequestLog) -> RequestError {
     let detail = "this entry VM exits before the request ends";
-    match log.may_have_run() {
+    match log.maybe_run {
         true => RequestError::new(StatusCode::GATEWAY_TIMEOUT, "stopping", detail),
         false => RequestError::not_run("stopping", detail).retry_at_once(),
     }
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -39,7 +39,7 @@
 
 use crate::clock;
 use crate::model::Place;
-use crate::net::Followers;
+use crate::net::LaterRequests;
 use crate::peer::Identity;
 use crate::steer::StopSchedule;
 
@@ -58,6 +58,9 @@
 use sessions::Sessions;
 use state::FrontState;
 
+/// Interval of the checks, late in a stop, whether a response waits behind a request.
+const READY_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// State shared by all tasks of a front.
 pub(crate) struct Front {
     pub(crate) config: FrontConfig,
@@ -103,16 +106,16 @@
         self.stop.get().is_none_or(|stop| stop.accepts(now, deadline))
     }
 
-    /// Time left for a response to a request that times out at `deadline`; a stopping VM exits before
-    /// its grace period ends.
+    /// Time left for a response to a request that times out at `deadline`; a stopping VM gives up
+    /// its last requests before its grace period ends.
     pub(crate) fn time_left(&self, now: Duration, deadline: Duration) -> Duration {
-        let exit = self.stop.get().map_or(Duration::MAX, StopSchedule::exit_at);
-        deadline.min(exit).saturating_sub(now)
+        let end = self.stop.get().map_or(Duration::MAX, StopSchedule::respond_by);
+        deadline.min(end).saturating_sub(now)
     }
 
-    /// True if this VM is stopping and exits before `deadline`.
-    pub(crate) fn exits_before(&self, deadline: Duration) -> bool {
-        self.stop.get().is_some_and(|stop| stop.exit_at() < deadline)
+    /// True if this VM is stopping and gives up its last requests before `deadline`.
+    pub(crate) fn ends_before(&self, deadline: Duration) -> bool {
+        self.stop.get().is_some_and(|stop| stop.respond_by() < deadline)
     }
 
     /// True if a request that times out at `deadline` may be sent to another target now.
@@ -120,13 +123,13 @@
         self.stop.get().is_none_or(|stop| stop.may_retry(now, deadline))
     }
 
-    /// Returns when a request must get an error since this VM is stopping; see [`StopSchedule::fail_at`].
-    pub(crate) async fn request_failed_by_stop(&self, followers: &Followers) {
+    /// Returns when a request must get an error, since this VM stops and either a response waits behind the
+    /// request, or too little time is left.
+    pub(crate) async fn wait_for_stop_failure(&self, later: &LaterRequests) {
         let stop = self.stop.wait().await;
-        sleep_until(stop.fail_at(true)).await;
-        // From the start of a stop, no request is started ahead of its turn.
-        if !followers.any_started() {
-            sleep_until(stop.fail_at(false)).await;
+        sleep_until(stop.unblock_at()).await;
+        while clock::now() < stop.respond_by() && !later.any_ready() {
+            sleep_until(stop.respond_by().min(clock::now() + READY_CHECK_INTERVAL)).await;
         }
     }
 
--- a/src/front/request.rs
+++ b/src/front/request.rs
@@ -104,7 +104,7 @@
     }
 }
 
-/// Fields of a request's log line, filled in as they become known.
+/// What is known of a request while it is handled, and its log line's fields.
 #[derive(Default)]
 pub(crate) struct RequestLog {
     pub(crate) id: String,
@@ -115,18 +115,13 @@
     pub(crate) rank: String,
     /// The targets that it was sent to, each with the attempt's outcome.
     pub(crate) targets: String,
+    /// True while a target may have run the request.
+    pub(crate) maybe_run: bool,
     /// How long it waited for its turn on its connection.
     pub(crate) wait: Duration,
     pub(crate) in_flight: InFlightGuard,
 }
 
-impl RequestLog {
-    /// True if a target may have run the request: an attempt is recorded before it is sent.
-    pub(crate) fn may_have_run(&self) -> bool {
-        !self.targets.is_empty()
-    }
-}
-
 /// The path and query as the caller sent them.
 pub(crate) fn path_and_query(head: &request::Parts) -> String {
     head.uri.path_and_query().map_or_else(|| "/".to_owned(), ToString::to_string)
--- a/src/front/run.rs
+++ b/src/front/run.rs
@@ -202,6 +202,9 @@
     /// Logs the requests that the end of the process cuts.
     fn log_cut_requests(&self) {
         let cut = self.in_flight.take_all(clock::now());
+        if cut.is_empty() {
+            return;
+        }
         log::warn!("front: the grace period ended with {} requests in flight.", cut.len());
         for record in &cut {
             self.decision_log.log("cut", record);
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -189,7 +189,7 @@
     let HandlerContext { responder, from, closing, .. } = context;
     let mut response = match turn.task {
         Some(task) => task.await??,
-        None => respond::dispatch(request, from, responder, turn.position).await?,
+        None => respond::dispatch(request, from, responder, turn.extensions).await?,
     };
     let closing = closing.load(Ordering::Relaxed);
     match session {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -19,7 +19,7 @@
 pub(crate) use headers::{connection_options, header_text, is_hop_by_hop};
 pub use port::{PortState, check_port};
 pub use read_ahead::{
-    Admission, AheadBudget, Followers, OverlapKind, RequestHead, StartDecision, Step, Tracker,
+    Admission, AheadBudget, LaterRequests, OverlapKind, RequestHead, StartDecision, Step, Tracker,
     TrackerEvent,
 };
 pub use respond::{Arrival, Respond};
--- a/src/net/read_ahead/admission.rs
+++ b/src/net/read_ahead/admission.rs
@@ -135,11 +135,6 @@
         self.entries.truncate(left);
     }
 
-    /// True if a request behind `number` has been started.
-    pub fn has_started_behind(&self, number: u64) -> bool {
-        self.entries.iter().any(|e| e.number > number && e.stage == Stage::Ahead)
-    }
-
     /// Requests that have started and whose turn has not come.
     fn ahead(&self) -> usize {
         self.entries.iter().filter(|e| e.stage == Stage::Ahead).count()
--- a/src/net/read_ahead/mod.rs
+++ b/src/net/read_ahead/mod.rs
@@ -5,13 +5,13 @@
 mod boundary;
 mod budget;
 mod buffer;
-mod followers;
+mod later;
 mod session;
 mod stream;
 
 pub use admission::{Admission, OverlapKind, StartDecision};
 pub use boundary::{RequestHead, Step, Tracker, TrackerEvent};
 pub use budget::AheadBudget;
-pub use followers::Followers;
+pub use later::LaterRequests;
 pub(super) use session::{HandlerContext, RequestTurn, Session};
 pub(super) use stream::{ReadAheadStream, ReadClosed};
--- a/src/net/read_ahead/session.rs
+++ b/src/net/read_ahead/session.rs
@@ -15,13 +15,13 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::net::progress::{RequestGuard, SharedProgress};
-use crate::net::respond::{self, Arrival, QueuePosition, Respond};
+use crate::net::respond::{self, Arrival, RequestExtensions, Respond};
 
 use super::admission::{Admission, OverlapKind, StartDecision};
 use super::boundary::{RequestHead, Tracker, TrackerEvent};
 use super::budget::AheadBudget;
 use super::buffer::ReadBuffer;
-use super::followers::Followers;
+use super::later::LaterRequests;
 
 /// What the handlers of a connection need.
 #[derive(Clone)]
@@ -55,7 +55,7 @@
 /// A request whose turn has come.
 pub(crate) struct RequestTurn {
     /// Its arrival is now if that is not known.
-    pub(crate) position: QueuePosition,
+    pub(crate) extensions: RequestExtensions,
     /// Its handler's task, if it was started ahead.
     pub(crate) task: Option<HandlerTask>,
     /// Counts it as unanswered.
@@ -65,8 +65,9 @@
 impl RequestTurn {
     /// The turn of a request that came at `now` on a connection that is not read ahead.
     pub(crate) fn alone(now: Duration, guard: RequestGuard) -> Self {
-        let position = QueuePosition { arrival: Arrival(now), followers: Followers::default() };
-        Self { position, task: None, guard: (guard, None) }
+        let extensions =
+            RequestExtensions { arrival: Arrival(now), later: LaterRequests::default() };
+        Self { extensions, task: None, guard: (guard, None) }
     }
 }
 
@@ -91,10 +92,10 @@
 pub(super) struct WeakSession(Weak<Mutex<SessionState>>);
 
 impl WeakSession {
-    /// True if a request behind `number` has been started and not answered.
-    pub(super) fn has_started_behind(&self, number: u64) -> bool {
+    /// True if the response to a request behind `number` is ready.
+    pub(super) fn is_ready_behind(&self, number: u64) -> bool {
         let session = self.0.upgrade().map(Session);
-        session.is_some_and(|session| session.lock().admission.has_started_behind(number))
+        session.is_some_and(|session| session.lock().is_ready_behind(number))
     }
 }
 
@@ -140,10 +141,10 @@
             Some(started) => (Some(started.task), started.guard),
             None => (None, state.context.progress.start_request()),
         };
-        let followers = number.map(|number| state.followers(number)).unwrap_or_default();
-        let position = QueuePosition { arrival: Arrival(arrived), followers };
+        let later = number.map(|number| state.later(number)).unwrap_or_default();
+        let extensions = RequestExtensions { arrival: Arrival(arrived), later };
         let turn = number.map(|number| TurnGuard { session: self.clone(), number });
-        RequestTurn { position, task, guard: (guard, turn) }
+        RequestTurn { extensions, task, guard: (guard, turn) }
     }
 
     /// Decides whether the present response closes the connection; `wanted` says that it should. After
@@ -168,6 +169,11 @@
         self.start_all();
     }
 
+    fn is_ready_behind(&self, number: u64) -> bool {
+        let mut later = self.known.range(number + 1..).filter_map(|(_, r)| r.started.as_ref());
+        later.any(|started| started.task.is_finished())
+    }
+
     /// Position on the connection up to which the server may read: the end of the first unanswered
     /// request.
     fn limit(&self) -> u64 {
@@ -263,13 +269,13 @@
         }
     }
 
-    fn followers(&self, number: u64) -> Followers {
-        Followers::new(self.own.clone(), number)
+    fn later(&self, number: u64) -> LaterRequests {
+        LaterRequests::new(self.own.clone(), number)
     }
 
     fn start(&mut self, number: u64, permit: OwnedSemaphorePermit) {
         self.admission.started(number);
-        let followers = self.followers(number);
+        let later = self.later(number);
         let Some(known) = self.known.get_mut(&number) else { return };
         let Some((_, arrived)) = known.end else { return };
         let mut request = Request::new(Empty::<Bytes>::new());
@@ -277,8 +283,8 @@
         *request.uri_mut() = known.head.uri.clone();
         *request.headers_mut() = known.head.headers.clone();
         let HandlerContext { responder, from, progress, .. } = &self.context;
-        let position = QueuePosition { arrival: Arrival(arrived), followers };
-        let handler = respond::dispatch(request, *from, responder.clone(), position);
+        let extensions = RequestExtensions { arrival: Arrival(arrived), later };
+        let handler = respond::dispatch(request, *from, responder.clone(), extensions);
         let task = AbortOnDropHandle::new(tokio::spawn(handler));
         let guard = progress.start_request();
         known.started = Some(StartedRequest { task, guard, _permit: permit });
--- a/src/net/respond.rs
+++ b/src/net/respond.rs
@@ -13,7 +13,7 @@
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Limited};
 
-use super::read_ahead::Followers;
+use super::read_ahead::LaterRequests;
 use super::response::{bytes_response, full_body};
 
 /// Largest body of a request that is read whole, in bytes.
@@ -56,11 +56,11 @@
     }
 }
 
-/// Where a request stands on its connection. Its responder gets both parts as extensions of the request.
+/// The extensions that a request gets for its responder.
 #[derive(Clone, Debug)]
-pub(super) struct QueuePosition {
+pub(super) struct RequestExtensions {
     pub(super) arrival: Arrival,
-    pub(super) followers: Followers,
+    pub(super) later: LaterRequests,
 }
 
 /// Passes a request from the client at `from` to the responder.
@@ -71,15 +71,15 @@
     request: Request<B>,
     from: SocketAddr,
     responder: Arc<dyn Respond>,
-    position: QueuePosition,
+    extensions: RequestExtensions,
 ) -> anyhow::Result<Response<Body>>
 where
     B: hyper::body::Body<Data = Bytes> + Send + 'static,
     B::Error: std::error::Error + Send + Sync,
 {
     let state = State::from_request(request, from);
-    let position = AssertUnwindSafe(position);
-    let adapter = Adapter { responder: AssertUnwindSafe(responder), from, position };
+    let extensions = AssertUnwindSafe(extensions);
+    let adapter = Adapter { responder: AssertUnwindSafe(responder), from, extensions };
     gotham::service::call_handler(adapter, AssertUnwindSafe(state)).await
 }
 
@@ -90,7 +90,7 @@
     responder: AssertUnwindSafe<Arc<dyn Respond>>,
     from: SocketAddr,
     /// Passed beside the request, since `gotham` drops its extensions.
-    position: AssertUnwindSafe<QueuePosition>,
+    extensions: AssertUnwindSafe<RequestExtensions>,
 }
 
 impl NewHandler for Adapter {
@@ -98,14 +98,14 @@
 
     fn new_handler(&self) -> anyhow::Result<Self> {
         let responder = AssertUnwindSafe(self.responder.0.clone());
-        let position = AssertUnwindSafe(self.position.0.clone());
-        Ok(Adapter { responder, from: self.from, position })
+        let extensions = AssertUnwindSafe(self.extensions.0.clone());
+        Ok(Adapter { responder, from: self.from, extensions })
     }
 }
 
 impl Handler for Adapter {
     fn handle(self, state: State) -> std::pin::Pin<Box<HandlerFuture>> {
-        call_responder(state, self.responder.0.clone(), self.from, self.position.0)
+        call_responder(state, self.responder.0.clone(), self.from, self.extensions.0)
     }
 }
 
@@ -113,15 +113,15 @@
     mut state: State,
     responder: Arc<dyn Respond>,
     from: SocketAddr,
-    position: QueuePosition,
+    extensions: RequestExtensions,
 ) -> std::pin::Pin<Box<HandlerFuture>> {
     Box::pin(async move {
         let mut request = Request::new(Body::take_from(&mut state));
         *request.method_mut() = http::Method::take_from(&mut state);
         *request.uri_mut() = http::Uri::take_from(&mut state);
         *request.headers_mut() = http::HeaderMap::take_from(&mut state);
-        request.extensions_mut().insert(position.arrival);
-        request.extensions_mut().insert(position.followers);
+        request.extensions_mut().insert(extensions.arrival);
+        request.extensions_mut().insert(extensions.later);
         let response = responder.respond_stream(request, from).await;
         Ok((state, response))
     })
--- a/src/steer/stopping.rs
+++ b/src/steer/stopping.rs
@@ -18,15 +18,17 @@
 const ANY_TIMEOUT_FRACTION: f64 = 0.4;
 /// Fraction of the grace period after which all new requests are rejected.
 const REJECT_FRACTION: f64 = 0.7;
+/// Fraction of the grace period after which every request has a response, which is then written.
+const RESPOND_FRACTION: f64 = 0.93;
 /// Fraction of the grace period after which the process exits even with requests in flight.
-const EXIT_FRACTION: f64 = 0.95;
+const EXIT_FRACTION: f64 = 0.98;
 /// Fraction of the grace period after which a request may be cut while its target is at work, if it
 /// was sent early in the stop.
 const MAY_CUT_FRACTION: f64 = 5.0 / 6.0;
-/// Time from a request's timeout to its response having been written.
+/// Time from a request's timeout to its response having been written, where no grace period is given.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(100);
-/// Time from a target's response to its arrival here, from another region too.
-const TARGET_MARGIN: Duration = Duration::from_millis(150);
+/// Time in which a response that its target has begun to send is here, also from another region.
+const TRANSFER_PERIOD: Duration = Duration::from_millis(200);
 
 /// The schedule of a graceful stop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -39,9 +41,10 @@
     close_at: Duration,
     /// Until then, requests are accepted that finish before the exit.
     reject_at: Duration,
-    /// From then on, requests with responses behind them on their connection get an error. Never after
-    /// [`RESPONSE_MARGIN`] before the exit, when all others do.
+    /// From then on, a request gets an error if a response waits behind it. Never after `respond_by`.
     unblock_at: Duration,
+    /// Then all requests without a response get an error. Never after `exit_at`.
+    respond_by: Duration,
     /// Never before one of the others.
     exit_at: Duration,
 }
@@ -54,8 +57,9 @@
         let exit_at = after(EXIT_FRACTION);
         // The platform lets the process cut early requests only late in the grace period, whenever the
         // signal was sent.
+        let respond_by = after(RESPOND_FRACTION);
         let may_cut_at = signal.latest + grace.mul_f64(MAY_CUT_FRACTION);
-        let may_cut = may_cut_at <= exit_at;
+        let may_cut = may_cut_at <= respond_by;
         let any_timeout = ANY_TIMEOUT_PERIOD.min(grace.mul_f64(ANY_TIMEOUT_FRACTION));
         let reject_at = after(REJECT_FRACTION);
         Self {
@@ -63,7 +67,8 @@
             any_timeout_until: signal.earliest + if may_cut { any_timeout } else { Duration::ZERO },
             close_at: (signal.latest + ACCEPT_PERIOD).min(reject_at),
             reject_at,
-            unblock_at: (may_cut_at + TARGET_MARGIN).min(last_response_at(exit_at)),
+            unblock_at: (may_cut_at + TRANSFER_PERIOD).min(respond_by),
+            respond_by,
             exit_at,
         }
     }
@@ -73,12 +78,14 @@
     pub fn with_notice(start: Duration, notice: Duration, drain: Duration) -> Self {
         let close_at = start + notice;
         let exit_at = close_at + drain;
+        let respond_by = exit_at.saturating_sub(RESPONSE_MARGIN);
         Self {
             start,
             any_timeout_until: start,
             close_at,
             reject_at: exit_at,
-            unblock_at: last_response_at(exit_at),
+            unblock_at: respond_by,
+            respond_by,
             exit_at,
         }
     }
@@ -114,23 +121,19 @@
         now < self.exit_at && self.finishes(deadline)
     }
 
-    /// When a request gets an error although its target may be at work: late enough that the platform lets
-    /// the process cut it, and early enough to be written before the exit. A request that `blocks_others`,
-    /// whose responses wait behind it on its connection, gets it earlier.
-    pub fn fail_at(&self, blocks_others: bool) -> Duration {
-        match blocks_others {
-            true => self.unblock_at,
-            false => last_response_at(self.exit_at),
-        }
+    /// From when on a request gets an error if a response waits behind it on its connection: late enough that
+    /// the platform excuses it, and early enough for the response to be written before the exit.
+    pub fn unblock_at(&self) -> Duration {
+        self.unblock_at
+    }
+
+    /// When all requests that have no response get an error.
+    pub fn respond_by(&self) -> Duration {
+        self.respond_by
     }
 
     /// True if a request that times out at `deadline` is sure to end before the process exits.
     fn finishes(&self, deadline: Duration) -> bool {
-        deadline.saturating_add(RESPONSE_MARGIN) <= self.exit_at
+        deadline <= self.respond_by
     }
 }
-
-/// When the last responses must be ready to be written before the exit.
-fn last_response_at(exit_at: Duration) -> Duration {
-    exit_at.saturating_sub(RESPONSE_MARGIN)
-}
