Net: a request that comes just before the close of an idle connection is answered

Cause: the runtime tells a connection's task of new bytes only when it next polls the sockets. All idle connections are closed in one go after that poll, so what came meanwhile was unknown, and discarded.

Change: when a connection is found idle, hyper ends without shutting the socket down, and the kernel is asked whether it holds bytes. If so, the connection is served on; else it is shut down in the same step.

The test puts a request into that gap from the server's own thread.

--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -1,5 +1,6 @@
 //! One connection of a server.
 
+use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -13,7 +14,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -23,7 +24,7 @@
 use super::linger;
 use super::progress::{REQUEST_WAIT, SharedProgress};
 use super::read_ahead::{
-    AheadBudget, HandlerContext, ReadAheadStream, ReadClosed, RequestTurn, Session,
+    AheadBudget, HandlerContext, ReadAheadStream, ReadState, RequestTurn, Session,
 };
 use super::respond::{self, Respond};
 use super::tracked::{TrackedStream, hold_until_sent};
@@ -80,12 +81,35 @@
     }
 }
 
+/// Serves until the connection ends. One that a stopping server finds idle is served on if a request has
+/// come since it was last read.
 async fn serve_requests(
-    stream: impl AsyncRead + AsyncWrite + ReadClosed + Send + Unpin + 'static,
+    mut stream: impl AsyncRead + AsyncWrite + ReadState + Send + Unpin + 'static,
     from: SocketAddr,
     state: Arc<ServerState>,
     mut stop: watch::Receiver<bool>,
 ) {
+    while let Some(idle) = serve_until_idle(stream, from, &state, &mut stop).await {
+        stream = idle;
+        if !stream.has_unread() {
+            // Fails if the client has left.
+            let _ = stream.shutdown().await;
+            return;
+        }
+    }
+}
+
+/// Serves until the connection ends, or until the server has stopped and the connection is idle. Then
+/// returns its stream.
+async fn serve_until_idle<S>(
+    stream: S,
+    from: SocketAddr,
+    state: &ServerState,
+    stop: &mut watch::Receiver<bool>,
+) -> Option<S>
+where
+    S: AsyncRead + AsyncWrite + ReadState + Send + Unpin + 'static,
+{
     let builder = http_builder(&state.limits);
     let progress = SharedProgress::new(Instant::now());
     let context = HandlerContext {
@@ -94,35 +118,39 @@
         progress: progress.clone(),
         closing: state.closing.clone(),
     };
-    let session = read_ahead_session(&state, &context);
+    let session = read_ahead_session(state, &context);
     let stream = TrackedStream::new(stream, progress.clone());
     let stream = TokioIo::new(ReadAheadStream::new(stream, session.clone()));
     let service = service_fn(move |request| {
         let turn = begin_turn(&request, session.as_ref(), &context.progress);
-        handle(request, turn, context.clone(), session.clone())
+        Box::pin(handle(request, turn, context.clone(), session.clone()))
     });
     let mut connection = builder.serve_connection(stream, service);
     let ended = tokio::select! {
         biased;
         outcome = &mut connection => Some(outcome),
-        () = idle_after_stop(&mut stop, &progress) => None,
+        () = idle_after_stop(stop, &progress) => None,
     };
+    let was_idle = ended.is_none();
     let outcome = match ended {
         Some(outcome) => outcome,
         None => {
             Pin::new(&mut connection).graceful_shutdown();
-            (&mut connection).await
+            poll_fn(|cx| connection.poll_without_shutdown(cx)).await
         }
     };
     if let Err(e) = &outcome {
         log::debug!("http: connection from {from} failed: {e}.");
     }
-    let quiet = progress.lock().is_quiet(Instant::now());
+    // Also drops what is left of the session, and with it all tasks.
+    let stream = connection.into_parts().io.into_inner().into_inner().into_inner();
+    let progress = *progress.lock();
+    let quiet = progress.is_quiet(Instant::now());
     if may_have_responded(&outcome) && !quiet {
-        // Also drops what is left of the session, and with it all tasks.
-        let stream = connection.into_parts().io.into_inner().into_inner().into_inner();
         linger::close(stream).await;
+        return None;
     }
+    (was_idle && outcome.is_ok() && !progress.is_receiving()).then_some(stream)
 }
 
 /// Returns when the server has stopped and the connection is idle: its client has had time to send a
--- a/src/net/progress.rs
+++ b/src/net/progress.rs
@@ -10,11 +10,11 @@
 const HEAD_WAIT: Duration = Duration::from_secs(2);
 
 /// What has passed over a connection.
-#[derive(Debug)]
+#[derive(Clone, Copy, Debug)]
 pub(super) struct Progress {
     /// Requests that have been read and not yet answered in full.
     requests: usize,
-    /// True if bytes have come since the last request was answered.
+    /// See [`Self::is_receiving`].
     receiving: bool,
     /// When bytes were last received or sent.
     last: Instant,
@@ -51,6 +51,11 @@
         (self.requests == 0).then(|| self.last.max(stopped) + wait)
     }
 
+    /// True if bytes have come since the last request was answered.
+    pub(super) fn is_receiving(&self) -> bool {
+        self.receiving
+    }
+
     /// True if nothing has been sent lately that a reset could destroy.
     pub(super) fn is_quiet(&self, now: Instant) -> bool {
         self.last + REQUEST_WAIT <= now
--- a/src/net/read_ahead/mod.rs
+++ b/src/net/read_ahead/mod.rs
@@ -14,4 +14,4 @@
 pub use budget::AheadBudget;
 pub use followers::Followers;
 pub(super) use session::{HandlerContext, RequestTurn, Session};
-pub(super) use stream::{ReadAheadStream, ReadClosed};
+pub(super) use stream::{ReadAheadStream, ReadState};
--- a/src/net/read_ahead/stream.rs
+++ b/src/net/read_ahead/stream.rs
@@ -1,11 +1,13 @@
 //! A stream that reads a connection ahead of its server.
 
 use std::io;
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use futures_util::FutureExt;
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::Sleep;
@@ -21,23 +23,36 @@
 /// still holds.
 const BOUND_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// A stream that knows whether the other side has ended it, also while bytes are unread.
-pub(crate) trait ReadClosed {
+/// A stream that knows more of its socket than what has been read.
+pub(crate) trait ReadState {
     /// True if the other side has closed or reset the connection.
     fn is_read_closed(&self) -> bool;
+
+    /// True if the kernel holds bytes of the other side. It is asked directly, since the runtime may learn
+    /// of them later.
+    fn has_unread(&self) -> bool;
 }
 
-impl ReadClosed for TcpStream {
+impl ReadState for TcpStream {
     fn is_read_closed(&self) -> bool {
         let ready = self.ready(Interest::READABLE).now_or_never();
         ready.is_some_and(|ready| ready.is_ok_and(|r| r.is_read_closed()))
     }
+
+    fn has_unread(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        SockRef::from(self).peek(&mut byte).is_ok_and(|count| count > 0)
+    }
 }
 
-impl ReadClosed for TlsStream<TcpStream> {
+impl ReadState for TlsStream<TcpStream> {
     fn is_read_closed(&self) -> bool {
         self.get_ref().0.is_read_closed()
     }
+
+    fn has_unread(&self) -> bool {
+        self.get_ref().0.has_unread()
+    }
 }
 
 /// Reads ahead for a session; without one, passes everything through.
@@ -60,7 +75,7 @@
     }
 }
 
-impl<S: AsyncRead + ReadClosed + Unpin> ReadAheadStream<S> {
+impl<S: AsyncRead + ReadState + Unpin> ReadAheadStream<S> {
     /// Reads while the session has room.
     fn fill(&mut self, cx: &mut Context<'_>, session: &Session) {
         let mut bytes = [0; READ_BYTES];
@@ -124,7 +139,7 @@
     }
 }
 
-impl<S: AsyncRead + ReadClosed + Unpin> AsyncRead for ReadAheadStream<S> {
+impl<S: AsyncRead + ReadState + Unpin> AsyncRead for ReadAheadStream<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
--- a/src/net/tracked.rs
+++ b/src/net/tracked.rs
@@ -13,7 +13,7 @@
 use tokio::time::Instant;
 
 use super::progress::SharedProgress;
-use super::read_ahead::ReadClosed;
+use super::read_ahead::ReadState;
 
 /// A stream that records when bytes pass.
 pub(super) struct TrackedStream<S> {
@@ -31,10 +31,14 @@
     }
 }
 
-impl<S: ReadClosed> ReadClosed for TrackedStream<S> {
+impl<S: ReadState> ReadState for TrackedStream<S> {
     fn is_read_closed(&self) -> bool {
         self.stream.is_read_closed()
     }
+
+    fn has_unread(&self) -> bool {
+        self.stream.has_unread()
+    }
 }
 
 impl<S: AsyncRead + Unpin> AsyncRead for TrackedStream<S> {
--- a/tests/server_stop.rs
+++ b/tests/server_stop.rs
@@ -2,6 +2,7 @@
 //! open ones without a request.
 
 use std::io::Write;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -10,6 +11,7 @@
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use shallotstall::net::{Respond, Server, text_response};
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -17,6 +19,10 @@
 const TEST_TIMEOUT: Duration = Duration::from_secs(60);
 /// More connections than are accepted in one turn of the runtime.
 const BACKLOG: usize = 100;
+/// When callers send after the stop, in milliseconds: around the time at which idle connections are closed.
+const CLOSING_MS: std::ops::RangeInclusive<u64> = 298..=306;
+/// How many callers send at each of these times.
+const CALLERS_PER_MS: usize = 10;
 const REQUEST: &[u8] = b"POST /swap HTTP/1.1\r\nHost: zoo.example\r\nContent-Length: 4\r\n\r\nswap";
 
 /// Responds with the request's body.
@@ -177,3 +183,43 @@
     // The header timeout is 10 s.
     assert!(start_time.elapsed() < Duration::from_secs(8), "{:?}", start_time.elapsed());
 }
+
+/// Guards against a request that is discarded with its idle connection, because it came between the last
+/// read and the close.
+#[tokio::test]
+async fn a_request_that_comes_just_before_the_close_is_answered() {
+    let server = start().await;
+    let mut senders = Vec::new();
+    // The callers run on the server's thread: those whose timer fires with the server's write after it
+    // has learnt what has come, and before it closes.
+    for after_ms in CLOSING_MS {
+        for _ in 0..CALLERS_PER_MS {
+            let mut caller = TcpStream::connect(server.addr).await.expect("connect");
+            caller.write_all(REQUEST).await.expect("send");
+            let read = tokio::time::timeout(TEST_TIMEOUT, caller.read(&mut [0; 1 << 10])).await;
+            assert!(read.expect("a response").expect("a response") > 0);
+            senders.push((caller, after_ms));
+        }
+    }
+    let stopped = tokio::time::Instant::now();
+    let send_late = |(mut caller, after_ms): (TcpStream, u64)| async move {
+        tokio::time::sleep_until(stopped + Duration::from_millis(after_ms)).await;
+        tokio::task::yield_now().await;
+        let socket = SockRef::from(&caller);
+        if socket.peek(&mut [MaybeUninit::uninit()]).is_ok() {
+            return None;
+        }
+        socket.send(REQUEST).expect("send");
+        Some(read_to_end(&mut caller).await)
+    };
+    let senders: Vec<_> = senders.into_iter().map(|s| tokio::spawn(send_late(s))).collect();
+    let shutdown = tokio::spawn(server.shutdown());
+    let mut sent = 0;
+    for sender in senders {
+        let Some(response) = sender.await.expect("a caller") else { continue };
+        assert!(is_answered(&response), "after {sent}: {response}");
+        sent += 1;
+    }
+    assert!(sent > 0);
+    await_end(shutdown).await;
+}
