--- a/src/front/ingress.rs
+++ b/src/front/ingress.rs
@@ -7,7 +7,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use gotham::helpers::http::Body;
-use http::header::{AUTHORIZATION, CONNECTION, CONTENT_LENGTH, COOKIE, HOST, RETRY_AFTER};
+use http::header::{CONNECTION, HOST, RETRY_AFTER};
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
 use rand::Rng;
@@ -23,6 +23,7 @@
 use super::metrics::RequestLabels;
 use super::outbound::read_up_to;
 use super::request::{Admitted, RequestBody, RequestError, RequestLog, path_and_query};
+use super::request_head::{affinity_key, api_key, caller_timeout, check_size};
 use super::{Front, admission, attempt, in_flight};
 
 /// Longest request body that is buffered before it is forwarded, in bytes. A longer one is streamed,
@@ -248,35 +249,6 @@
     }
 }
 
-/// The API key in a request's `Authorization` header.
-fn api_key<'a>(front: &Front, headers: &'a HeaderMap) -> Option<&'a str> {
-    let value = header_text(headers, AUTHORIZATION)?;
-    let (scheme, key) = value.split_once(' ')?;
-    scheme.eq_ignore_ascii_case(&front.headers.key_scheme).then_some(key.trim())
-}
-
-fn check_size(headers: &HeaderMap, index: &TableIndex) -> Result<(), RequestError> {
-    let bounds = index.table().bounds;
-    let length = header_text(headers, CONTENT_LENGTH).and_then(|v| v.parse::<u64>().ok());
-    if length.is_some_and(|l| l > bounds.body_bytes) {
-        return Err(RequestError::new(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            "long-body",
-            "the body is longer than the limit",
-        ));
-    }
-    let size: usize = headers.iter().map(|(n, v)| n.as_str().len() + v.len() + 4).sum();
-    if size as u64 > bounds.head_bytes {
-        let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
-        return Err(RequestError::new(
-            status,
-            "long-head",
-            "the headers are longer than the limit",
-        ));
-    }
-    Ok(())
-}
-
 /// Rejects keys when the table is so old that they may have been withdrawn, if the settings say so.
 fn check_table_age(front: &Front, now: Duration) -> Result<(), RequestError> {
     let bounds = &front.config.bounds;
@@ -318,12 +290,6 @@
     }
 }
 
-/// The caller's timeout from the deadline header; effectively unlimited without one.
-fn caller_timeout(front: &Front, headers: &HeaderMap) -> Duration {
-    let value = header_text(headers, &front.headers.deadline).and_then(|v| v.parse().ok());
-    value.map_or(Duration::MAX / 4, Duration::from_millis)
-}
-
 async fn read_body(mut body: Body, deadline: Duration) -> Result<RequestBody, RequestError> {
     let left = deadline.saturating_sub(clock::now());
     match tokio::time::timeout(left, read_up_to(&mut body, BUFFERED_BODY_MAX)).await {
@@ -346,13 +312,6 @@
     CrashTracker::fingerprint(&id, head.method.as_str(), &path_and_query(head), &start)
 }
 
-/// The affinity key from a request's cookie.
-fn affinity_key<'a>(front: &Front, headers: &'a HeaderMap) -> Option<&'a str> {
-    let cookies = headers.get_all(COOKIE).iter().filter_map(|v| v.to_str().ok());
-    let mut pairs = cookies.flat_map(|v| v.split(';')).filter_map(|p| p.trim().split_once('='));
-    pairs.find(|(name, _)| *name == front.headers.affinity_cookie).map(|(_, key)| key)
-}
-
 /// Chooses a service at random, in proportion to the weights.
 fn choose_service(parts: &[WeightedService]) -> Option<ServiceId> {
     let total: f64 = parts.iter().map(|p| p.weight.max(0.0)).sum();
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -24,6 +24,7 @@
 mod probes;
 mod rates;
 mod request;
+mod request_head;
 mod response;
 mod run;
 mod sessions;
