Net: a stopping server lets a surge of connections pass before its listener closes

Cause: the listener closed in the middle of a surge of connections.

Change: after the stop, the server accepts every 20 ms until none has come, for at most 0.3 s.

--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -69,14 +69,14 @@
     stream: TcpStream,
     from: SocketAddr,
     state: Arc<ServerState>,
-    stop: watch::Receiver<bool>,
+    listener_closed: watch::Receiver<bool>,
 ) {
     let _ = stream.set_nodelay(true);
     let Some(tls) = state.tls.clone() else {
-        return serve_requests(stream, from, state, stop).await;
+        return serve_requests(stream, from, state, listener_closed).await;
     };
     match tls.accept(stream).await {
-        Ok(stream) => serve_requests(stream, from, state, stop).await,
+        Ok(stream) => serve_requests(stream, from, state, listener_closed).await,
         Err(e) => log::debug!("http: TLS handshake with {from} failed: {e}."),
     }
 }
@@ -87,9 +87,9 @@
     mut stream: impl AsyncRead + AsyncWrite + ReadState + Send + Unpin + 'static,
     from: SocketAddr,
     state: Arc<ServerState>,
-    mut stop: watch::Receiver<bool>,
+    mut listener_closed: watch::Receiver<bool>,
 ) {
-    while let Some(idle) = serve_until_idle(stream, from, &state, &mut stop).await {
+    while let Some(idle) = serve_until_idle(stream, from, &state, &mut listener_closed).await {
         stream = idle;
         if !stream.has_unread() {
             // Fails if the client has left.
@@ -105,7 +105,7 @@
     stream: S,
     from: SocketAddr,
     state: &ServerState,
-    stop: &mut watch::Receiver<bool>,
+    listener_closed: &mut watch::Receiver<bool>,
 ) -> Option<S>
 where
     S: AsyncRead + AsyncWrite + ReadState + Send + Unpin + 'static,
@@ -129,7 +129,7 @@
     let ended = tokio::select! {
         biased;
         outcome = &mut connection => Some(outcome),
-        () = idle_after_stop(stop, &progress) => None,
+        () = idle_after_close(listener_closed, &progress) => None,
     };
     let was_idle = ended.is_none();
     let outcome = match ended {
@@ -153,20 +153,20 @@
     (was_idle && outcome.is_ok() && !progress.is_receiving()).then_some(stream)
 }
 
-/// Returns when the server has stopped and the connection is idle: its client has had time to send a
-/// request, and none is being answered. If the server has been dropped, returns at once.
-async fn idle_after_stop(stop: &mut watch::Receiver<bool>, progress: &SharedProgress) {
-    if stop.wait_for(|stop| *stop).await.is_err() {
+/// Returns when the listener of a stopping server has closed and the connection is idle: its client has had
+/// time to send a request, and none is being answered. If the server has been dropped, returns at once.
+async fn idle_after_close(listener_closed: &mut watch::Receiver<bool>, progress: &SharedProgress) {
+    if listener_closed.wait_for(|closed| *closed).await.is_err() {
         return;
     }
-    let stopped = Instant::now();
+    let closed = Instant::now();
     loop {
-        let close_at = progress.lock().close_at(stopped);
+        let close_at = progress.lock().close_at(closed);
         let check_at = close_at.unwrap_or_else(|| Instant::now() + REQUEST_WAIT);
         tokio::time::sleep_until(check_at).await;
         // Lets the connection read what has come while the process was busy.
         tokio::task::yield_now().await;
-        let close_at = progress.lock().close_at(stopped);
+        let close_at = progress.lock().close_at(closed);
         if close_at.is_some_and(|at| at <= Instant::now()) {
             return;
         }
--- a/src/net/progress.rs
+++ b/src/net/progress.rs
@@ -44,11 +44,11 @@
         self.last = now;
     }
 
-    /// When a server that stopped at `stopped` may close the connection; none while a request is
-    /// being answered.
-    pub(super) fn close_at(&self, stopped: Instant) -> Option<Instant> {
+    /// When a stopping server whose listener closed at `closed` may close the connection; none while a
+    /// request is being answered.
+    pub(super) fn close_at(&self, closed: Instant) -> Option<Instant> {
         let wait = if self.receiving { HEAD_WAIT } else { REQUEST_WAIT };
-        (self.requests == 0).then(|| self.last.max(stopped) + wait)
+        (self.requests == 0).then(|| self.last.max(closed) + wait)
     }
 
     /// True if bytes have come since the last request was answered.
--- a/src/net/serve.rs
+++ b/src/net/serve.rs
@@ -9,6 +9,7 @@
 
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::time::Instant;
 use tokio_rustls::TlsAcceptor;
 
 use super::connection::{self, ConnectionLimits, ServerState};
@@ -17,6 +18,10 @@
 
 /// Delay after a failed accept; without it the loop would spin when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Interval of the last accepts of a server that stops.
+const LAST_ACCEPT_INTERVAL: Duration = Duration::from_millis(20);
+/// Longest time of the last accepts.
+const LAST_ACCEPT_MAX: Duration = Duration::from_millis(300);
 
 /// A running server.
 pub struct Server {
@@ -89,7 +94,7 @@
         self.closing.store(true, Ordering::Relaxed);
     }
 
-    /// Stops accepting connections, but for those that wait in the backlog. A connection without a
+    /// Stops accepting connections as soon as none has come for a moment. Then a connection without a
     /// request gets a short time to send one.
     /// Returns when all requests in flight are done and all connections are closed.
     pub async fn shutdown(self) {
@@ -97,24 +102,25 @@
         // Sending fails only if the accept loop has already ended.
         let _ = self.stop.send(true);
         let _ = self.task.await;
-        // Every connection holds a receiver until it has ended.
-        self.stop.closed().await;
     }
 }
 
+/// Accepts connections until the server stops, and then waits for their end. If the server has been
+/// dropped, its listener and its idle connections close at once.
 async fn accept_loop(
     listener: TcpListener,
     state: Arc<ServerState>,
-    stopped: watch::Receiver<bool>,
+    mut stop: watch::Receiver<bool>,
 ) {
-    let mut stop = stopped.clone();
+    // Every connection holds a receiver until it has ended.
+    let (closed, listener_closed) = watch::channel(false);
     let serve = |stream, from| {
-        tokio::spawn(connection::serve(stream, from, state.clone(), stopped.clone()));
+        tokio::spawn(connection::serve(stream, from, state.clone(), listener_closed.clone()));
     };
-    loop {
+    let stopped = loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = stop.changed() => break,
+            stopped = stop.changed() => break stopped,
         };
         match accepted {
             Ok((stream, from)) => serve(stream, from),
@@ -123,28 +129,53 @@
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
-    }
+    };
     state.closing.store(true, Ordering::Relaxed);
-    if let Err(e) = accept_backlog(listener, serve) {
+    if stopped.is_err() {
+        return;
+    }
+    if let Err(e) = accept_last(listener, serve).await {
         log::warn!("http: accept failed at the end: {e}.");
     }
+    drop(listener_closed);
+    closed.send_replace(true);
+    closed.closed().await;
 }
 
-/// Accepts the connections that wait in the backlog, then closes the listener, which would reset them.
-fn accept_backlog(
+/// Accepts connections until none comes for [`LAST_ACCEPT_INTERVAL`], then closes the listener, which
+/// resets those that wait in the backlog. So a surge is let pass, and the close directly follows a
+/// wake-up, when the process is unlikely to be suspended.
+async fn accept_last(
     listener: TcpListener,
     serve: impl Fn(TcpStream, SocketAddr),
 ) -> std::io::Result<()> {
     // Tokio's listener would wait for the next event; this one asks the system.
     let listener = listener.into_std()?;
+    let end = Instant::now() + LAST_ACCEPT_MAX;
+    loop {
+        tokio::time::sleep(LAST_ACCEPT_INTERVAL).await;
+        let accepted = accept_backlog(&listener, &serve)?;
+        if accepted == 0 || Instant::now() >= end {
+            return Ok(());
+        }
+    }
+}
+
+/// Accepts the connections that wait in the backlog, and returns how many.
+fn accept_backlog(
+    listener: &std::net::TcpListener,
+    serve: impl Fn(TcpStream, SocketAddr),
+) -> std::io::Result<usize> {
+    let mut accepted = 0;
     loop {
         match listener.accept() {
             Ok((stream, from)) => {
                 stream.set_nonblocking(true)?;
                 serve(TcpStream::from_std(stream)?, from);
+                accepted += 1;
             }
             Err(e) if e.kind() == ErrorKind::ConnectionAborted => {}
-            Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
+            Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(accepted),
             Err(e) => return Err(e),
         }
     }
