--- a/src/front/metered.rs
+++ b/src/front/metered.rs
@@ -3,39 +3,151 @@
 
 use std::io::{Error, ErrorKind, IoSlice, Result};
 use std::pin::Pin;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::Sleep;
+
+use crate::net::{HeldBytes, UNCOUNTED_BYTES};
 
 /// Most bytes that may be read without a part of a response; larger than the read buffer, since a
 /// part may come from all of it.
 const UNPARSED_BYTES_MAX: usize = 512 << 10;
 
-/// Counts the bytes that were read since the last part of a response.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct ReadMeter(Arc<AtomicUsize>);
+/// Size of a connection's read buffer, and so the longest head of a response, in bytes.
+pub(crate) const READ_BUFFER_MAX: usize = 64 << 10;
+/// Most bytes of one read while there is no room for more; the buffer then stays small.
+const SHORT_READ_BYTES: usize = 4 << 10;
+/// Interval of the checks whether there is room.
+const ROOM_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Counts the bytes that were read since the last part of a response, and holds them.
+#[derive(Clone, Debug)]
+pub(crate) struct ReadMeter(Arc<Mutex<MeterState>>);
+
+#[derive(Debug)]
+struct MeterState {
+    /// Bytes read since the last part of a response.
+    unparsed: usize,
+    /// Size of the largest buffer that was offered for a read.
+    offered: usize,
+    /// True while the connection is kept for reuse: its buffer is empty, but allocated.
+    idle: bool,
+    held: HeldBytes,
+}
 
 impl ReadMeter {
+    /// A meter that counts towards the budget of `held`.
+    pub(crate) fn new(held: HeldBytes) -> Self {
+        let state = MeterState { unparsed: 0, offered: 0, idle: false, held };
+        Self(Arc::new(Mutex::new(state)))
+    }
+
     /// Records that a part of a response has come: its head, or a piece of its body.
     pub(crate) fn reset(&self) {
-        self.0.store(0, Ordering::Relaxed);
+        let mut state = self.lock();
+        state.unparsed = 0;
+        state.idle = false;
+        state.settle();
+    }
+
+    /// Holds the buffer of a connection that is kept for reuse. Returns false if there is no room.
+    pub(crate) fn try_hold_idle(&self) -> bool {
+        let mut state = self.lock();
+        state.idle = true;
+        let counted = counted(state.offered);
+        state.held.try_set(counted)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, MeterState> {
+        self.0.lock().expect("meter lock")
+    }
+}
+
+impl MeterState {
+    /// Holds what is read into a buffer of `size` bytes. Returns false if there is no room.
+    fn try_offer(&mut self, size: usize) -> bool {
+        let fits = self.held.try_set(counted(self.unparsed + size));
+        if fits {
+            self.offered = self.offered.max(size);
+        }
+        fits
+    }
+
+    /// How many bytes may be read while there is no room.
+    fn short_room(&self) -> usize {
+        SHORT_READ_BYTES.min(UNCOUNTED_BYTES.saturating_sub(self.unparsed))
     }
 
-    fn add(&self, bytes: usize) -> bool {
-        self.0.fetch_add(bytes, Ordering::Relaxed) + bytes <= UNPARSED_BYTES_MAX
+    /// Records that `bytes` were read.
+    ///
+    /// # Errors
+    /// Fails if no part of a response has come for too many bytes.
+    fn add(&mut self, bytes: usize) -> Result<()> {
+        self.unparsed += bytes;
+        self.settle();
+        match self.unparsed <= UNPARSED_BYTES_MAX {
+            true => Ok(()),
+            false => {
+                let cause = "many bytes without a part of a response";
+                Err(Error::new(ErrorKind::InvalidData, cause))
+            }
+        }
+    }
+
+    /// Holds what is left after a read.
+    fn settle(&mut self) {
+        let left = if self.idle { self.offered } else { self.unparsed };
+        self.held.set(counted(left));
     }
 }
 
-/// A connection whose reads are counted by a [`ReadMeter`].
+/// How many of the bytes in a read buffer count towards the budget.
+fn counted(bytes: usize) -> usize {
+    bytes.min(READ_BUFFER_MAX).saturating_sub(UNCOUNTED_BYTES)
+}
+
+/// A connection whose reads are counted by a [`ReadMeter`]. While there is no room for what it reads, it
+/// reads little at a time, or waits.
 #[derive(Debug)]
 pub(crate) struct MeteredStream {
-    pub(crate) stream: TcpStream,
-    pub(crate) meter: ReadMeter,
+    stream: TcpStream,
+    meter: ReadMeter,
+    /// The next check whether there is room.
+    check: Option<Pin<Box<Sleep>>>,
+}
+
+impl MeteredStream {
+    pub(crate) fn new(stream: TcpStream, meter: ReadMeter) -> Self {
+        Self { stream, meter, check: None }
+    }
+
+    /// Reads a few bytes.
+    fn poll_read_short(
+        &mut self,
+        cx: &mut Context<'_>,
+        room: usize,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<Result<()>> {
+        let mut bytes = [0; SHORT_READ_BYTES];
+        let mut part = ReadBuf::new(&mut bytes[..room.min(buf.remaining())]);
+        ready!(Pin::new(&mut self.stream).poll_read(cx, &mut part))?;
+        buf.put_slice(part.filled());
+        Poll::Ready(Ok(()))
+    }
+
+    /// Ready when there may be room.
+    fn poll_check(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let sleep = || Box::pin(tokio::time::sleep(ROOM_CHECK_INTERVAL));
+        ready!(self.check.get_or_insert_with(sleep).as_mut().poll(cx));
+        self.check = None;
+        Poll::Ready(())
+    }
 }
 
 /// A response's body; its frames reset the meter of their connection.
@@ -74,11 +186,20 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<Result<()>> {
         let before = buf.filled().len();
-        let result = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if !self.meter.add(buf.filled().len() - before) {
-            let cause = "many bytes without a part of a response";
-            return Poll::Ready(Err(Error::new(ErrorKind::InvalidData, cause)));
-        }
+        let (fits, room) = loop {
+            let mut state = self.meter.lock();
+            let (fits, room) = (state.try_offer(buf.remaining()), state.short_room());
+            drop(state);
+            if fits || room > 0 {
+                break (fits, room);
+            }
+            ready!(self.poll_check(cx));
+        };
+        let result = match fits {
+            true => Pin::new(&mut self.stream).poll_read(cx, buf),
+            false => self.poll_read_short(cx, room, buf),
+        };
+        self.meter.lock().add(buf.filled().len() - before)?;
         result
     }
 }
--- a/src/front/metrics.rs
+++ b/src/front/metrics.rs
@@ -18,7 +18,7 @@
 use prometheus_client::registry::Registry;
 
 use crate::clock;
-use crate::net::{AheadBudget, Respond, bytes_response, text_response};
+use crate::net::{AheadBudget, ByteBudget, HoldKind, Respond, bytes_response, text_response};
 use crate::steer::{Pick, RankClass, TargetNotice};
 
 use super::Front;
@@ -69,6 +69,12 @@
     step: &'static str,
 }
 
+/// Labels of the gauge of bytes held.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct HoldLabels {
+    kind: &'static str,
+}
+
 /// Labels of the counters of tokens and retries. Class 0 ranks highest.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct RankLabels {
@@ -122,6 +128,8 @@
     lag: Gauge,
     ahead_started: Counter,
     ahead_held: Counter,
+    budget: ByteBudget,
+    held_bytes: Family<HoldLabels, Gauge>,
     tokens: Family<RankLabels, Counter>,
     rank_retries: Family<RankLabels, Counter>,
     knowledge_age: Histogram,
@@ -156,6 +164,8 @@
             registry: Mutex::default(),
             ahead_started: ahead.started.clone(),
             ahead_held: ahead.held.clone(),
+            budget: ahead.bytes.clone(),
+            held_bytes: Family::default(),
             knowledge_age: Histogram::new(AGE_BUCKETS),
             choices: Family::default(),
             idle_slots: Counter::default(),
@@ -193,6 +203,10 @@
         registry.register("ahead_started", help, metrics.ahead_started.clone());
         let help = "Pipelined requests that a bound kept from starting before their turn";
         registry.register("ahead_held", help, metrics.ahead_held.clone());
+        let help = "Bytes held for requests and for responses";
+        registry.register("held_bytes", help, metrics.held_bytes.clone());
+        let help = "How often there was no room to hold more bytes";
+        registry.register("held_refused", help, metrics.budget.refused());
         let help = "Tokens taken and refused, by class of rank; 0 is the highest";
         registry.register("tokens", help, metrics.tokens.clone());
         let help = "Retries made and refused, by class of rank; 0 is the highest";
@@ -271,6 +285,10 @@
         self.in_flight.set(front.in_flight.len() as i64);
         self.unsent.set(front.in_flight.unsent() as i64);
         self.lag.set(front.lag.max(now).as_millis() as i64);
+        for kind in HoldKind::ALL {
+            let labels = HoldLabels { kind: kind.as_str() };
+            self.held_bytes.get_or_create(&labels).set(self.budget.held(kind) as i64);
+        }
         // -1 until the first routing table.
         let age = front.state.table_age(now).map_or(-1, |a| a.as_millis() as i64);
         self.age.set(age);
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -8,6 +8,7 @@
 
 mod admission;
 mod attempt;
+mod body_buffer;
 mod config;
 mod crash_check;
 mod decisions;
--- a/src/front/outbound.rs
+++ b/src/front/outbound.rs
@@ -9,7 +9,6 @@
 use bytes::Bytes;
 use gotham::helpers::http::Body;
 use http::{HeaderMap, Request, Response};
-use http_body_util::BodyExt;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
@@ -17,9 +16,10 @@
 use tokio::task::AbortHandle;
 
 use crate::clock;
-use crate::net::{connection_options, header_text};
+use crate::net::{ByteBudget, HeldBytes, HoldKind, connection_options, header_text};
 
-use super::metered::{MeteredBody, MeteredStream, ReadMeter};
+use super::body_buffer::read_start;
+use super::metered::{MeteredBody, MeteredStream, READ_BUFFER_MAX, ReadMeter};
 
 /// Timeout of opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
@@ -37,8 +37,6 @@
 /// Most idle connections kept to one target.
 const IDLE_CONNS_MAX: usize = 6;
 
-/// Size of a connection's read buffer, and so the longest head of a response, in bytes.
-const READ_BUFFER_MAX: usize = 64 << 10;
 /// A request that failed without a response.
 #[derive(Debug, thiserror::Error)]
 #[error("{step} at {peer}: {cause}")]
@@ -51,8 +49,9 @@
 }
 
 /// HTTP client for targets, with idle connections for reuse.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(crate) struct TargetClient {
+    budget: ByteBudget,
     idle: Arc<Mutex<HashMap<SocketAddr, Vec<IdleConn>>>>,
 }
 
@@ -95,10 +94,16 @@
         self.reused
     }
 
-    /// Keeps the connection for reuse. Call it only after the whole response has been read.
+    /// Starts to hold bytes of the response.
+    pub(crate) fn hold(&self) -> HeldBytes {
+        self.client.budget.hold(HoldKind::Response)
+    }
+
+    /// Keeps the connection for reuse, if there is room for its buffer. Call it only after the whole response has been read.
     pub(crate) fn release(mut self) {
         let Some(conn) = self.conn.take() else { return };
-        if self.expires <= clock::now() || conn.sender.is_closed() {
+        let expired = self.expires <= clock::now();
+        if expired || conn.sender.is_closed() || !conn.meter.try_hold_idle() {
             conn.task.abort();
             return;
         }
@@ -113,6 +118,11 @@
 }
 
 impl TargetClient {
+    /// A client whose connections hold what they read within `budget`.
+    pub(crate) fn new(budget: ByteBudget) -> Self {
+        Self { budget, idle: Arc::default() }
+    }
+
     /// Sends a request and returns the response's head. If `reuse`, prefers an idle connection.
     pub(crate) async fn send(
         &self,
@@ -173,10 +183,10 @@
             Err(_) => return Err(fail("connect", "no response in time".to_owned())),
         };
         set_options(&stream).map_err(|e| fail("set options", e.to_string()))?;
-        let meter = ReadMeter::default();
+        let meter = ReadMeter::new(self.budget.hold(HoldKind::Response));
         let (sender, conn) = http1::Builder::new()
             .max_buf_size(READ_BUFFER_MAX)
-            .handshake(TokioIo::new(MeteredStream { stream, meter: meter.clone() }))
+            .handshake(TokioIo::new(MeteredStream::new(stream, meter.clone())))
             .await
             .map_err(|e| fail("open", e.to_string()))?;
         let task = tokio::spawn(async move {
@@ -247,16 +257,7 @@
     body: &mut (impl hyper::body::Body<Data = Bytes, Error: std::fmt::Display> + Unpin),
     limit: usize,
 ) -> Result<(Vec<Bytes>, bool), String> {
-    let (mut chunks, mut size) = (Vec::new(), 0);
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|e| e.to_string())?;
-        if let Ok(data) = frame.into_data() {
-            size += data.len();
-            chunks.push(data);
-        }
-        if size > limit {
-            return Ok((chunks, false));
-        }
-    }
-    Ok((chunks, true))
+    let held = ByteBudget::new(usize::MAX).hold(HoldKind::Request);
+    let start = read_start(body, limit, held).await.map_err(|e| e.to_string())?;
+    Ok((start.chunks, start.complete))
 }
--- a/src/front/response.rs
+++ b/src/front/response.rs
@@ -18,11 +18,13 @@
 use crate::net::{connection_options, full_body, header_text, is_hop_by_hop};
 
 use super::Headers;
+use super::body_buffer::read_start;
 use super::metered::MeteredBody;
-use super::outbound::{Lease, read_up_to};
+use super::outbound::Lease;
 use super::request::Admitted;
 
-/// Longest response body that is buffered before it is forwarded, in bytes; longer ones are streamed.
+/// Longest response body that is buffered before it is forwarded, in bytes; longer ones are
+/// streamed, and so is what there is no room for.
 const BUFFERED_RESPONSE_MAX: usize = 128 << 10;
 
 /// Time after the caller's deadline for which a streamed body may go on: a late answer is still
@@ -61,22 +63,22 @@
     };
     head.headers = forwarded_headers(&head.headers);
     head.version = Version::HTTP_11;
-    let (chunks, complete) = match read_up_to(&mut body, BUFFERED_RESPONSE_MAX).await {
-        Ok(read) => read,
+    let start = match read_start(&mut body, BUFFERED_RESPONSE_MAX, lease.hold()).await {
+        Ok(start) => start,
         Err(e) => return AttemptOutcome::Lost(format!("the response was aborted: {e}")),
     };
     if not_run {
-        if complete {
+        if start.complete {
             lease.release();
         }
         return AttemptOutcome::NotRun { status: head.status };
     }
     let server_error = head.status.is_server_error();
-    let body = if complete {
+    let body = if start.complete {
         lease.release();
-        full_body(chunks.concat().into())
+        full_body(start.into_bytes())
     } else {
-        let chunks = chunks.into_iter();
+        let chunks = start.chunks.into_iter();
         let left = admitted.caller_deadline.saturating_sub(clock::now());
         let deadline = Box::pin(tokio::time::sleep(left.saturating_add(LATE_BODY_PERIOD)));
         StreamedBody { chunks, rest: body, lease: Some(lease), deadline }.boxed_unsync()
--- a/src/front/run.rs
+++ b/src/front/run.rs
@@ -91,7 +91,7 @@
         let ahead = Arc::new(AheadBudget::for_memory(config.memory_bytes()));
         let front = Arc::new(Front {
             state: FrontState::new(&config, now),
-            target_client: TargetClient::default(),
+            target_client: TargetClient::new(ahead.bytes.clone()),
             sessions: Sessions::new(dialer),
             decision_log: DecisionLogger::start(config.log.lines),
             metrics: FrontMetrics::new(&ahead),
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP client and server on top of `gotham`, `hyper` and `hyper-util`, used by the daemons, the
 //! stand-ins and the command line.
 
+mod byte_budget;
 mod client;
 mod connection;
 mod headers;
@@ -14,6 +15,8 @@
 mod tls;
 mod tracked;
 
+pub(crate) use byte_budget::UNCOUNTED_BYTES;
+pub use byte_budget::{ByteBudget, HeldBytes, HoldKind};
 pub use client::{HttpClient, HttpError};
 pub use connection::ConnectionLimits;
 pub(crate) use headers::{connection_options, header_text, is_hop_by_hop};
--- a/src/net/read_ahead/budget.rs
+++ b/src/net/read_ahead/budget.rs
@@ -1,20 +1,24 @@
-//! The bound on requests that all connections of a server run ahead of their turn.
+//! The bounds on what all connections of a server read ahead, and run ahead of its turn.
 
 use std::sync::Arc;
 
 use prometheus_client::metrics::counter::Counter;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
+use crate::net::ByteBudget;
+
 /// What a VM may hold for a request that runs ahead, in bytes: 128 KB of its response, and as much
 /// again while its chunks are joined or while more of it is read.
 const REQUEST_BYTES: u64 = 256 << 10;
 /// The part of the memory that is used for requests ahead: one in so many bytes.
 const MEMORY_DIVISOR: u64 = 4;
 
-/// Permits for requests that run ahead, and their counters.
+/// Permits for requests that run ahead, the budget of the bytes that are read ahead, and counters.
 #[derive(Debug)]
 pub struct AheadBudget {
     permits: Arc<Semaphore>,
+    /// The budget of the VM; other parts may share it.
+    pub bytes: ByteBudget,
     /// Requests that were started ahead of their turn.
     pub started: Counter,
     /// Requests that a bound kept from starting ahead.
@@ -22,15 +26,16 @@
 }
 
 impl AheadBudget {
-    /// A budget for `requests` at once.
-    pub fn new(requests: usize) -> Self {
+    /// A budget for `requests` at once, and for `bytes`.
+    pub fn new(requests: usize, bytes: ByteBudget) -> Self {
         let permits = Arc::new(Semaphore::new(requests.min(Semaphore::MAX_PERMITS)));
-        Self { permits, started: Counter::default(), held: Counter::default() }
+        Self { permits, bytes, started: Counter::default(), held: Counter::default() }
     }
 
     /// The budget of a VM with so many bytes of memory.
     pub fn for_memory(bytes: u64) -> Self {
-        Self::new((bytes / MEMORY_DIVISOR / REQUEST_BYTES) as usize)
+        let requests = (bytes / MEMORY_DIVISOR / REQUEST_BYTES) as usize;
+        Self::new(requests, ByteBudget::for_memory(bytes))
     }
 
     /// A permit for one request, held while it is ahead; none if the bound is reached.
--- a/src/net/read_ahead/buffer.rs
+++ b/src/net/read_ahead/buffer.rs
@@ -2,6 +2,8 @@
 
 use bytes::{Buf, BytesMut};
 
+use crate::net::{HeldBytes, UNCOUNTED_BYTES};
+
 /// Largest allocation that is kept while the buffer is empty, in bytes.
 const IDLE_CAPACITY_MAX: usize = 1 << 10;
 
@@ -16,21 +18,29 @@
     /// Bytes at the start that the tracker has consumed.
     tracked: usize,
     max: usize,
+    /// Counts the bytes beyond [`UNCOUNTED_BYTES`].
+    held: HeldBytes,
 }
 
 impl ReadBuffer {
     /// An empty buffer for at most `max` bytes.
-    pub(super) fn new(max: usize) -> Self {
-        Self { bytes: BytesMut::new(), base: 0, taken: 0, tracked: 0, max }
+    pub(super) fn new(max: usize, held: HeldBytes) -> Self {
+        Self { bytes: BytesMut::new(), base: 0, taken: 0, tracked: 0, max, held }
     }
 
-    /// How many bytes may be added.
-    pub(super) fn room(&self) -> usize {
-        self.max.saturating_sub(self.bytes.len())
+    /// How many bytes may be added, `wanted` at most.
+    pub(super) fn room(&self, wanted: usize) -> usize {
+        let length = self.bytes.len();
+        let wanted = wanted.min(self.max.saturating_sub(length));
+        match self.held.has_room(counted(length + wanted)) {
+            true => wanted,
+            false => wanted.min(UNCOUNTED_BYTES.saturating_sub(length)),
+        }
     }
 
     pub(super) fn add(&mut self, bytes: &[u8]) {
         self.bytes.extend_from_slice(bytes);
+        self.held.set(counted(self.bytes.len()));
     }
 
     /// The bytes that the tracker has not consumed.
@@ -71,12 +81,14 @@
         let end = limit.saturating_sub(self.base).min(self.bytes.len() as u64) as usize;
         self.bytes.truncate(end.max(self.taken));
         self.tracked = self.tracked.min(self.bytes.len());
+        self.held.set(counted(self.bytes.len()));
     }
 
     /// Drops the bytes that nobody needs.
     fn discard(&mut self) {
         let count = self.taken.min(self.tracked);
         self.bytes.advance(count);
+        self.held.set(counted(self.bytes.len()));
         self.base += count as u64;
         self.taken -= count;
         self.tracked -= count;
@@ -85,3 +97,8 @@
         }
     }
 }
+
+/// How many of `length` bytes count towards the budget.
+fn counted(length: usize) -> usize {
+    length.saturating_sub(UNCOUNTED_BYTES)
+}
--- a/src/net/read_ahead/session.rs
+++ b/src/net/read_ahead/session.rs
@@ -16,6 +16,7 @@
 
 use crate::net::progress::{RequestGuard, SharedProgress};
 use crate::net::respond::{self, Arrival, QueuePosition, Respond};
+use crate::net::{HeldBytes, HoldKind};
 
 use super::admission::{Admission, OverlapKind, StartDecision};
 use super::boundary::{RequestHead, Tracker, TrackerEvent};
@@ -23,6 +24,11 @@
 use super::buffer::ReadBuffer;
 use super::followers::Followers;
 
+/// What a header may take beside its value, in bytes.
+const HEADER_BYTES: usize = 192;
+/// What a head may take beside its values, in bytes: it has up to 100 headers.
+const HEAD_BYTES_MAX: usize = 100 * HEADER_BYTES;
+
 /// What the handlers of a connection need.
 #[derive(Clone)]
 pub(crate) struct HandlerContext {
@@ -50,6 +56,8 @@
     /// arriving.
     end: Option<(u64, Duration)>,
     started: Option<StartedRequest>,
+    /// Counts its head.
+    _held: HeldBytes,
 }
 
 /// A request whose turn has come.
@@ -109,6 +117,8 @@
     budget: Arc<AheadBudget>,
     /// True if a bound holds a request back.
     held: bool,
+    /// True if there is no room for another head.
+    short: bool,
 }
 
 impl Session {
@@ -116,13 +126,14 @@
     pub(crate) fn new(bytes_max: usize, context: HandlerContext, budget: Arc<AheadBudget>) -> Self {
         let state = |own: &Weak<_>| SessionState {
             own: WeakSession(own.clone()),
-            buffer: ReadBuffer::new(bytes_max),
+            buffer: ReadBuffer::new(bytes_max, budget.bytes.hold(HoldKind::Request)),
             tracker: Tracker::new(bytes_max),
             admission: Admission::default(),
             known: BTreeMap::new(),
             context,
             budget,
             held: false,
+            short: false,
         };
         Self(Arc::new_cyclic(|own| Mutex::new(state(own))))
     }
@@ -161,7 +172,10 @@
 impl SessionState {
     /// Follows the bytes that have come by `now`, and starts what may start.
     pub(super) fn advance(&mut self, now: Duration) {
-        while !self.admission.is_full() && self.track_one(now) {}
+        self.short = !self.has_head_room();
+        while !self.short && !self.admission.is_full() && self.track_one(now) {
+            self.short = !self.has_head_room();
+        }
         if self.context.closing.load(Ordering::Relaxed) {
             self.admission.close();
         }
@@ -182,7 +196,7 @@
 
     /// True if a bound holds back a request or the reading.
     pub(super) fn is_bounded(&self) -> bool {
-        self.held || self.buffer.room() == 0
+        self.held || self.short || self.buffer.room(1) == 0
     }
 
     /// Records that the client has ended the connection. If a handler runs, nobody waits for its
@@ -208,6 +222,12 @@
         self.held = false;
     }
 
+    /// True if one more head may be held. The first one always may.
+    fn has_head_room(&self) -> bool {
+        let held = self.budget.bytes.hold(HoldKind::Request);
+        self.known.is_empty() || held.has_room(HEAD_BYTES_MAX)
+    }
+
     /// Returns false if more bytes are needed.
     fn track_one(&mut self, now: Duration) -> bool {
         let step = self.tracker.advance(self.buffer.untracked());
@@ -230,7 +250,9 @@
         let kind = if may_overlap { OverlapKind::Overlap } else { OverlapKind::Alone };
         let number = self.admission.add(kind);
         let end = (!has_body).then(|| (self.buffer.tracked_position(), now));
-        self.known.insert(number, KnownRequest { head, end, started: None });
+        let mut held = self.budget.bytes.hold(HoldKind::Request);
+        held.set(head_bytes(&head));
+        self.known.insert(number, KnownRequest { head, end, started: None, _held: held });
     }
 
     fn complete_newest(&mut self, now: Duration) {
@@ -314,3 +336,8 @@
         self.known.retain(|&n, _| n > number);
     }
 }
+
+/// What a head takes, in bytes.
+fn head_bytes(head: &RequestHead) -> usize {
+    head.headers.values().map(|value| HEADER_BYTES + value.len()).sum()
+}
--- a/src/net/read_ahead/stream.rs
+++ b/src/net/read_ahead/stream.rs
@@ -65,7 +65,7 @@
     fn fill(&mut self, cx: &mut Context<'_>, session: &Session) {
         let mut bytes = [0; READ_BYTES];
         while self.end.is_none() {
-            let room = session.lock().buffer.room().min(READ_BYTES);
+            let room = session.lock().buffer.room(READ_BYTES);
             if room == 0 {
                 return;
             }
--- a/tests/pipelining.rs
+++ b/tests/pipelining.rs
@@ -12,7 +12,7 @@
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
 use shallotstall::clock;
 use shallotstall::net::{
-    AheadBudget, Arrival, ConnectionLimits, Respond, Server, full_body, text_response,
+    AheadBudget, Arrival, ByteBudget, ConnectionLimits, Respond, Server, full_body, text_response,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -107,7 +107,7 @@
     async fn start(ahead: usize) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let gate = Gate(Arc::new(watch::Sender::default()));
-        let budget = Arc::new(AheadBudget::new(ahead));
+        let budget = Arc::new(AheadBudget::new(ahead, ByteBudget::new(usize::MAX)));
         let limits = ConnectionLimits { max_header_bytes: HEAD_MAX, ..ConnectionLimits::default() };
         let responder = Arc::new(gate.clone());
         let server = Server::start_reading_ahead(listener, None, responder, limits, budget.clone());
