Front: what is held for requests, responses and bytes ahead is bounded in sum

Cause: bounds per connection only. Besides, by reading: each chunk of a body kept the read buffer that it came in and 32 bytes of its own, also a chunk of one byte; read buffers of hyper that have grown stay with their connections. Bodies are copied into one counted buffer; what has no room is streamed. Metrics held_bytes and held_refused.

--- a/src/front/attempt.rs
+++ b/src/front/attempt.rs
@@ -11,6 +11,7 @@
 
 use crate::clock;
 use crate::model::TargetId;
+use crate::net::{HeldBytes, HoldKind, hold_until_sent};
 use crate::steer::{Pick, PickRequest, PickResult, caller_pause};
 
 use super::Front;
@@ -25,6 +26,9 @@
 /// Most attempts of a request that may fail without reaching a target; one more ends the request.
 const UNREACHED_MAX: u32 = 4;
 
+/// What every request takes, in bytes: two connections with small buffers, two tasks and two heads.
+const REQUEST_BYTES: usize = 32 << 10;
+
 /// Results of a request's earlier attempts.
 #[derive(Default)]
 struct History {
@@ -48,6 +52,7 @@
     log: &mut RequestLog,
 ) -> Result<Response<Body>, RequestError> {
     check_quarantine(front, &admitted)?;
+    let held = hold_request(front)?;
     let class = admitted.retry_class;
     front.state.lock().retries.deposit(clock::now(), &admitted.service, class);
     let mut history = History::default();
@@ -66,7 +71,7 @@
         front.metrics.record_choice(&pick);
         let outcome = attempt(front, &admitted, &pick, body, log).await?;
         match next_step(front, &admitted, &pick, outcome, &mut history) {
-            Next::Respond(response) => return Ok(response),
+            Next::Respond(response) => return Ok(hold_until_sent(response, held)),
             Next::Fail(reason) => return Err(history.error(reason, "")),
             Next::Retry => {}
         }
@@ -242,6 +247,18 @@
     }
 }
 
+/// Holds what every request takes.
+///
+/// # Errors
+/// Fails if there is no room.
+fn hold_request(front: &Front) -> Result<HeldBytes, RequestError> {
+    let mut held = front.target_client.budget.hold(HoldKind::Request);
+    match held.try_set(REQUEST_BYTES) {
+        true => Ok(held),
+        false => Err(RequestError::not_run("no-memory", "too much is held for other requests")),
+    }
+}
+
 fn check_quarantine(front: &Front, admitted: &Admitted) -> Result<(), RequestError> {
     let now = Instant::now();
     match front.state.lock().crashes.quarantine(now, &admitted.fingerprint) {
--- a/src/front/body_buffer.rs
+++ b/src/front/body_buffer.rs
@@ -40,7 +40,8 @@
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame?.into_data() else { continue };
         if !buffer.try_add(&data) {
-            return Ok(BodyStart { chunks: vec![buffer.into_bytes(), data], complete: false });
+            let chunks = [buffer.into_bytes(), data].into_iter().filter(|c| !c.is_empty());
+            return Ok(BodyStart { chunks: chunks.collect(), complete: false });
         }
     }
     Ok(BodyStart { chunks: vec![buffer.into_bytes()], complete: true })
--- a/src/front/metered.rs
+++ b/src/front/metered.rs
@@ -26,7 +26,7 @@
 /// Interval of the checks whether there is room.
 const ROOM_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Counts the bytes that were read since the last part of a response, and holds them.
+/// Counts the bytes that were read since the last part of a response, and holds the connection's buffer.
 #[derive(Clone, Debug)]
 pub(crate) struct ReadMeter(Arc<Mutex<MeterState>>);
 
@@ -34,34 +34,28 @@
 struct MeterState {
     /// Bytes read since the last part of a response.
     unparsed: usize,
-    /// Size of the largest buffer that was offered for a read.
-    offered: usize,
-    /// True while the connection is kept for reuse: its buffer is empty, but allocated.
-    idle: bool,
+    /// The largest buffer so far: it stays allocated until the connection is closed.
+    largest: usize,
+    /// Counts it beyond [`UNCOUNTED_BYTES`].
     held: HeldBytes,
 }
 
 impl ReadMeter {
     /// A meter that counts towards the budget of `held`.
     pub(crate) fn new(held: HeldBytes) -> Self {
-        let state = MeterState { unparsed: 0, offered: 0, idle: false, held };
-        Self(Arc::new(Mutex::new(state)))
+        Self(Arc::new(Mutex::new(MeterState { unparsed: 0, largest: 0, held })))
     }
 
     /// Records that a part of a response has come: its head, or a piece of its body.
     pub(crate) fn reset(&self) {
-        let mut state = self.lock();
-        state.unparsed = 0;
-        state.idle = false;
-        state.settle();
+        self.lock().unparsed = 0;
     }
 
-    /// Holds the buffer of a connection that is kept for reuse. Returns false if there is no room.
-    pub(crate) fn try_hold_idle(&self) -> bool {
-        let mut state = self.lock();
-        state.idle = true;
-        let counted = counted(state.offered);
-        state.held.try_set(counted)
+    /// True if the connection's buffer is large, and there is no room for another one.
+    pub(crate) fn is_burden(&self) -> bool {
+        let state = self.lock();
+        let counted = counted(state.largest);
+        counted > 0 && !state.held.has_room(2 * counted)
     }
 
     fn lock(&self) -> MutexGuard<'_, MeterState> {
@@ -70,11 +64,14 @@
 }
 
 impl MeterState {
-    /// Holds what is read into a buffer of `size` bytes. Returns false if there is no room.
+    /// Holds a buffer with room for `size` bytes behind those that it has. Returns false if the budget has
+    /// no room.
     fn try_offer(&mut self, size: usize) -> bool {
-        let fits = self.held.try_set(counted(self.unparsed + size));
+        let largest = self.largest.max(self.unparsed + size).min(READ_BUFFER_MAX);
+        let fits = self.held.has_room(counted(largest));
         if fits {
-            self.offered = self.offered.max(size);
+            self.largest = largest;
+            self.held.set(counted(largest));
         }
         fits
     }
@@ -90,7 +87,6 @@
     /// Fails if no part of a response has come for too many bytes.
     fn add(&mut self, bytes: usize) -> Result<()> {
         self.unparsed += bytes;
-        self.settle();
         match self.unparsed <= UNPARSED_BYTES_MAX {
             true => Ok(()),
             false => {
@@ -99,17 +95,11 @@
             }
         }
     }
-
-    /// Holds what is left after a read.
-    fn settle(&mut self) {
-        let left = if self.idle { self.offered } else { self.unparsed };
-        self.held.set(counted(left));
-    }
 }
 
-/// How many of the bytes in a read buffer count towards the budget.
-fn counted(bytes: usize) -> usize {
-    bytes.min(READ_BUFFER_MAX).saturating_sub(UNCOUNTED_BYTES)
+/// How many bytes of a read buffer with `size` bytes count towards the budget. It grows by doubling.
+fn counted(size: usize) -> usize {
+    2 * size.saturating_sub(UNCOUNTED_BYTES)
 }
 
 /// A connection whose reads are counted by a [`ReadMeter`]. While there is no room for what it reads, it
--- a/src/front/metrics.rs
+++ b/src/front/metrics.rs
@@ -203,9 +203,10 @@
         registry.register("ahead_started", help, metrics.ahead_started.clone());
         let help = "Pipelined requests that a bound kept from starting before their turn";
         registry.register("ahead_held", help, metrics.ahead_held.clone());
-        let help = "Bytes held for requests and for responses";
+        let help = "Bytes held for what is sent ahead, for requests and for responses";
         registry.register("held_bytes", help, metrics.held_bytes.clone());
-        let help = "How often there was no room to hold more bytes";
+        let help =
+            "Requests refused and responses not buffered, since there was no room to hold them";
         registry.register("held_refused", help, metrics.budget.refused());
         let help = "Tokens taken and refused, by class of rank; 0 is the highest";
         registry.register("tokens", help, metrics.tokens.clone());
--- a/src/front/outbound.rs
+++ b/src/front/outbound.rs
@@ -51,7 +51,8 @@
 /// HTTP client for targets, with idle connections for reuse.
 #[derive(Clone, Debug)]
 pub(crate) struct TargetClient {
-    budget: ByteBudget,
+    /// What the VM holds for requests and responses.
+    pub(crate) budget: ByteBudget,
     idle: Arc<Mutex<HashMap<SocketAddr, Vec<IdleConn>>>>,
 }
 
@@ -99,11 +100,12 @@
         self.client.budget.hold(HoldKind::Response)
     }
 
-    /// Keeps the connection for reuse, if there is room for its buffer. Call it only after the whole response has been read.
+    /// Keeps the connection for reuse, unless memory is short and its buffer is large. Call it only after
+    /// the whole response has been read.
     pub(crate) fn release(mut self) {
         let Some(conn) = self.conn.take() else { return };
         let expired = self.expires <= clock::now();
-        if expired || conn.sender.is_closed() || !conn.meter.try_hold_idle() {
+        if expired || conn.sender.is_closed() || conn.meter.is_burden() {
             conn.task.abort();
             return;
         }
@@ -257,7 +259,7 @@
     body: &mut (impl hyper::body::Body<Data = Bytes, Error: std::fmt::Display> + Unpin),
     limit: usize,
 ) -> Result<(Vec<Bytes>, bool), String> {
-    let held = ByteBudget::new(usize::MAX).hold(HoldKind::Request);
+    let held = ByteBudget::unlimited().hold(HoldKind::Request);
     let start = read_start(body, limit, held).await.map_err(|e| e.to_string())?;
     Ok((start.chunks, start.complete))
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -29,3 +29,4 @@
 pub use response::{bytes_response, full_body, json_response, text_response};
 pub use serve::Server;
 pub use tls::tls_acceptor;
+pub(crate) use tracked::hold_until_sent;
--- a/src/net/read_ahead/budget.rs
+++ b/src/net/read_ahead/budget.rs
@@ -1,4 +1,4 @@
-//! The bounds on what all connections of a server read ahead, and run ahead of its turn.
+//! The bounds on what all connections of a server read ahead, and on requests that run ahead of their turn.
 
 use std::sync::Arc;
 
@@ -8,7 +8,7 @@
 use crate::net::ByteBudget;
 
 /// What a VM may hold for a request that runs ahead, in bytes: 128 KB of its response, and as much
-/// again while its chunks are joined or while more of it is read.
+/// again while its buffer grows or while more of it is read.
 const REQUEST_BYTES: u64 = 256 << 10;
 /// The part of the memory that is used for requests ahead: one in so many bytes.
 const MEMORY_DIVISOR: u64 = 4;
--- a/src/net/read_ahead/buffer.rs
+++ b/src/net/read_ahead/buffer.rs
@@ -40,7 +40,7 @@
 
     pub(super) fn add(&mut self, bytes: &[u8]) {
         self.bytes.extend_from_slice(bytes);
-        self.held.set(counted(self.bytes.len()));
+        self.held.set(counted(self.bytes.capacity()));
     }
 
     /// The bytes that the tracker has not consumed.
@@ -81,24 +81,23 @@
         let end = limit.saturating_sub(self.base).min(self.bytes.len() as u64) as usize;
         self.bytes.truncate(end.max(self.taken));
         self.tracked = self.tracked.min(self.bytes.len());
-        self.held.set(counted(self.bytes.len()));
     }
 
     /// Drops the bytes that nobody needs.
     fn discard(&mut self) {
         let count = self.taken.min(self.tracked);
         self.bytes.advance(count);
-        self.held.set(counted(self.bytes.len()));
         self.base += count as u64;
         self.taken -= count;
         self.tracked -= count;
         if self.bytes.is_empty() && self.bytes.capacity() > IDLE_CAPACITY_MAX {
             self.bytes = BytesMut::new();
         }
+        self.held.set(counted(self.bytes.capacity()));
     }
 }
 
-/// How many of `length` bytes count towards the budget.
-fn counted(length: usize) -> usize {
-    length.saturating_sub(UNCOUNTED_BYTES)
+/// How many of `capacity` bytes count towards the budget.
+fn counted(capacity: usize) -> usize {
+    capacity.saturating_sub(UNCOUNTED_BYTES)
 }
--- a/src/net/read_ahead/session.rs
+++ b/src/net/read_ahead/session.rs
@@ -126,7 +126,7 @@
     pub(crate) fn new(bytes_max: usize, context: HandlerContext, budget: Arc<AheadBudget>) -> Self {
         let state = |own: &Weak<_>| SessionState {
             own: WeakSession(own.clone()),
-            buffer: ReadBuffer::new(bytes_max, budget.bytes.hold(HoldKind::Request)),
+            buffer: ReadBuffer::new(bytes_max, budget.bytes.hold(HoldKind::Ahead)),
             tracker: Tracker::new(bytes_max),
             admission: Admission::default(),
             known: BTreeMap::new(),
@@ -224,7 +224,7 @@
 
     /// True if one more head may be held. The first one always may.
     fn has_head_room(&self) -> bool {
-        let held = self.budget.bytes.hold(HoldKind::Request);
+        let held = self.budget.bytes.hold(HoldKind::Ahead);
         self.known.is_empty() || held.has_room(HEAD_BYTES_MAX)
     }
 
@@ -250,7 +250,7 @@
         let kind = if may_overlap { OverlapKind::Overlap } else { OverlapKind::Alone };
         let number = self.admission.add(kind);
         let end = (!has_body).then(|| (self.buffer.tracked_position(), now));
-        let mut held = self.budget.bytes.hold(HoldKind::Request);
+        let mut held = self.budget.bytes.hold(HoldKind::Ahead);
         held.set(head_bytes(&head));
         self.known.insert(number, KnownRequest { head, end, started: None, _held: held });
     }
--- a/src/net/read_ahead/stream.rs
+++ b/src/net/read_ahead/stream.rs
@@ -15,7 +15,7 @@
 
 use super::session::Session;
 
-/// Most bytes of one read.
+/// Most bytes of one read; the server's buffer stays small, too.
 const READ_BYTES: usize = 8 << 10;
 /// Interval of the checks of a connection at a bound: whether its client has left, and whether the bound
 /// still holds.
@@ -94,7 +94,7 @@
             }
             let available = state.available();
             if !available.is_empty() {
-                let count = available.len().min(buffer.remaining());
+                let count = available.len().min(buffer.remaining()).min(READ_BYTES);
                 buffer.put_slice(&available[..count]);
                 state.buffer.take(count);
                 return Poll::Ready(Ok(()));
--- a/src/net/tracked.rs
+++ b/src/net/tracked.rs
@@ -87,7 +87,7 @@
 }
 
 /// Keeps `guard` until the body of the response has been passed to the connection.
-pub(super) fn hold_until_sent(
+pub(crate) fn hold_until_sent(
     response: Response<Body>,
     guard: impl Send + Unpin + 'static,
 ) -> Response<Body> {
--- a/tests/pipelining.rs
+++ b/tests/pipelining.rs
@@ -105,9 +105,14 @@
 
 impl Bench {
     async fn start(ahead: usize) -> Self {
+        Self::start_within(ahead, ByteBudget::unlimited()).await
+    }
+
+    /// Starts with room for so many requests ahead, and for these bytes.
+    async fn start_within(ahead: usize, bytes: ByteBudget) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let gate = Gate(Arc::new(watch::Sender::default()));
-        let budget = Arc::new(AheadBudget::new(ahead, ByteBudget::new(usize::MAX)));
+        let budget = Arc::new(AheadBudget::new(ahead, bytes));
         let limits = ConnectionLimits { max_header_bytes: HEAD_MAX, ..ConnectionLimits::default() };
         let responder = Arc::new(gate.clone());
         let server = Server::start_reading_ahead(listener, None, responder, limits, budget.clone());
@@ -183,6 +188,20 @@
     assert_eq!(bench.gate.0.borrow().started.len(), 3, "each runs once");
 }
 
+/// Guards against a connection that stands still, or is read differently, while memory is short.
+#[tokio::test]
+async fn requests_are_served_one_by_one_while_there_is_no_room() {
+    let mut bench = Bench::start_within(16, ByteBudget::new([0; 3])).await;
+    bench.send(&[get("/1"), get("/2"), post("/3"), get("/4")]).await;
+    for path in ["/1", "/2", "/3", "/4"] {
+        let seen = bench.gate.started(path).await;
+        assert_eq!(seen.started.last().map(String::as_str), Some(path), "{seen:?}");
+        bench.gate.release(path);
+        bench.expect(200, false, path).await;
+    }
+    assert_eq!(bench.budget.started.get(), 0);
+}
+
 /// Guards against a non-idempotent request that starts before its turn, anything that starts behind it,
 /// and a deadline that counts from the turn.
 #[tokio::test]
