--- a/src/net/read_ahead/buffer.rs
+++ b/src/net/read_ahead/buffer.rs
@@ -2,6 +2,8 @@
 
 use bytes::{Buf, BytesMut};
 
+use crate::net::{HeldBytes, UNCOUNTED_BYTES};
+
 /// Largest allocation that is kept while the buffer is empty, in bytes.
 const IDLE_CAPACITY_MAX: usize = 1 << 10;
 
@@ -16,21 +18,29 @@
     /// Bytes at the start that the tracker has consumed.
     tracked: usize,
     max: usize,
+    /// Counts the bytes beyond [`UNCOUNTED_BYTES`].
+    held: HeldBytes,
 }
 
 impl ReadBuffer {
     /// An empty buffer for at most `max` bytes.
-    pub(super) fn new(max: usize) -> Self {
-        Self { bytes: BytesMut::new(), base: 0, taken: 0, tracked: 0, max }
+    pub(super) fn new(max: usize, held: HeldBytes) -> Self {
+        Self { bytes: BytesMut::new(), base: 0, taken: 0, tracked: 0, max, held }
     }
 
-    /// How many bytes may be added.
-    pub(super) fn room(&self) -> usize {
-        self.max.saturating_sub(self.bytes.len())
+    /// How many bytes may be added, `wanted` at most.
+    pub(super) fn room(&self, wanted: usize) -> usize {
+        let length = self.bytes.len();
+        let wanted = wanted.min(self.max.saturating_sub(length));
+        match self.held.has_room(counted(length + wanted)) {
+            true => wanted,
+            false => wanted.min(UNCOUNTED_BYTES.saturating_sub(length)),
+        }
     }
 
     pub(super) fn add(&mut self, bytes: &[u8]) {
         self.bytes.extend_from_slice(bytes);
+        self.held.set(counted(self.bytes.capacity()));
     }
 
     /// The bytes that the tracker has not consumed.
@@ -83,5 +93,11 @@
         if self.bytes.is_empty() && self.bytes.capacity() > IDLE_CAPACITY_MAX {
             self.bytes = BytesMut::new();
         }
+        self.held.set(counted(self.bytes.capacity()));
     }
 }
+
+/// How many of `capacity` bytes count towards the budget.
+fn counted(capacity: usize) -> usize {
+    capacity.saturating_sub(UNCOUNTED_BYTES)
+}
--- a/src/net/read_ahead/stream.rs
+++ b/src/net/read_ahead/stream.rs
@@ -17,7 +17,7 @@
 
 use super::session::Session;
 
-/// Most bytes of one read.
+/// Most bytes of one read; the server's buffer stays small, too.
 const READ_BYTES: usize = 8 << 10;
 /// Interval of the checks of a connection at a bound: whether its client has left, and whether the bound
 /// still holds.
@@ -80,7 +80,7 @@
     fn fill(&mut self, cx: &mut Context<'_>, session: &Session) {
         let mut bytes = [0; READ_BYTES];
         while self.end.is_none() {
-            let room = session.lock().buffer.room().min(READ_BYTES);
+            let room = session.lock().buffer.room(READ_BYTES);
             if room == 0 {
                 return;
             }
@@ -109,7 +109,7 @@
             }
             let available = state.available();
             if !available.is_empty() {
-                let count = available.len().min(buffer.remaining());
+                let count = available.len().min(buffer.remaining()).min(READ_BYTES);
                 buffer.put_slice(&available[..count]);
                 state.buffer.take(count);
                 return Poll::Ready(Ok(()));
