HTTP client: bounds on a response that never ends, and on all responses together

Callers saw: a target that sends bytes without end holds its request until the time limit (interim responses, a chunk size), or the VM keeps up to 8 MiB of each response, with no bound over all requests in flight. In chunks of one byte each byte costs a `Bytes` and 6 bytes of read buffer.

Change: the front's meter of unparsed bytes moves to `net`, and `HttpClient` uses it, too. Bodies are copied into buffers that count against a `ResponseBudget` until their last reference is dropped. One response may hold no more than is left for the others, so small ones keep their place; one that has none fails as `over_budget` (it may have run; the target is not blamed). The answers that peers send on count against the same budget.

--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -16,7 +16,6 @@
 mod in_flight;
 mod ingress;
 mod lag;
-mod metered;
 mod metrics;
 mod news;
 mod notices;
--- a/src/front/outbound.rs
+++ b/src/front/outbound.rs
@@ -17,9 +17,7 @@
 use tokio::task::AbortHandle;
 
 use crate::clock;
-use crate::net::{connection_options, header_text};
-
-use super::metered::{MeteredBody, MeteredStream, ReadMeter};
+use crate::net::{MeteredBody, MeteredStream, ReadMeter, connection_options, header_text};
 
 /// Timeout of opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
--- a/src/front/response.rs
+++ b/src/front/response.rs
@@ -15,10 +15,9 @@
 use tokio::time::Sleep;
 
 use crate::clock;
-use crate::net::{connection_options, full_body, header_text, is_hop_by_hop};
+use crate::net::{MeteredBody, connection_options, full_body, header_text, is_hop_by_hop};
 
 use super::Headers;
-use super::metered::MeteredBody;
 use super::outbound::{Lease, read_up_to};
 use super::request::Admitted;
 
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -1,15 +1,25 @@
 //! An HTTP/1.1 client whose errors say whether the request can have reached the peer, so that
-//! callers know whether it may be sent again.
+//! callers know whether it may be sent again. It bounds what it holds of one response, and of all
+//! together.
 
+use std::future::Future;
 use std::net::IpAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response};
-use http_body_util::{BodyExt, Full, Limited};
+use http::{Request, Response, Uri};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use tower_service::Service;
+
+use super::metered::{MeteredBody, MeteredStream, ReadMeter};
+use super::response_budget::{HeldBody, OverBudget, ResponseBudget};
 
 /// Time limit for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -22,6 +32,10 @@
 const KEEPALIVE_PROBES: u32 = 2;
 /// Largest response body, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
+/// Size of a connection's read buffer, and so the longest head of a response, in bytes.
+const READ_BUFFER_MAX: usize = 64 << 10;
+/// Bytes of all response bodies that a client holds at once, unless it is given a budget.
+const DEFAULT_BUDGET_BYTES: usize = 64 << 20;
 
 /// A failed request.
 #[derive(Debug, thiserror::Error)]
@@ -37,18 +51,42 @@
     pub maybe_sent: bool,
     /// True if the peer's host refused the connection: no process listens there.
     pub connection_refused: bool,
+    /// True if the response had no place beside the others that this client holds. The peer has not
+    /// failed.
+    pub over_budget: bool,
+}
+
+/// Why a response body can't be read.
+#[derive(Debug, thiserror::Error)]
+enum BodyError {
+    #[error("{0}")]
+    Read(#[from] hyper::Error),
+    #[error("the body is longer than {MAX_RESPONSE_BYTES} bytes")]
+    TooLong,
+    #[error("{0}")]
+    OverBudget(#[from] OverBudget),
 }
 
 /// An HTTP/1.1 client with a connection pool.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
-    pooled: Client<HttpConnector, Full<Bytes>>,
-    unpooled: Client<HttpConnector, Full<Bytes>>,
+    pooled: Client<MeteredConnector, Full<Bytes>>,
+    unpooled: Client<MeteredConnector, Full<Bytes>>,
+    budget: Arc<ResponseBudget>,
 }
 
+/// Opens connections whose reads are metered.
+#[derive(Clone, Debug)]
+struct MeteredConnector(HttpConnector);
+
 impl HttpClient {
     /// Creates a client; its connections use the local address `bind`, if given.
     pub fn new(bind: Option<IpAddr>) -> Self {
+        Self::with_budget(bind, ResponseBudget::new(DEFAULT_BUDGET_BYTES))
+    }
+
+    /// As [`Self::new`], but its response bodies hold no more than `budget` allows.
+    pub fn with_budget(bind: Option<IpAddr>, budget: Arc<ResponseBudget>) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         connector.set_nodelay(true);
@@ -56,11 +94,13 @@
         connector.set_keepalive_interval(Some(KEEPALIVE_INTERVAL));
         connector.set_keepalive_retries(Some(KEEPALIVE_PROBES));
         connector.set_local_address(bind);
+        let connector = MeteredConnector(connector);
         let mut builder = Client::builder(TokioExecutor::new());
+        builder.http1_max_buf_size(READ_BUFFER_MAX);
         builder.pool_timer(TokioTimer::new()).retry_canceled_requests(false);
         let pooled = builder.pool_idle_timeout(POOL_IDLE_TIMEOUT).build(connector.clone());
         let unpooled = builder.pool_max_idle_per_host(0).build(connector);
-        Self { pooled, unpooled }
+        Self { pooled, unpooled, budget }
     }
 
     /// Sends `request`, over a pooled connection if one is idle, and reads the whole response.
@@ -72,7 +112,7 @@
         request: Request<Bytes>,
         timeout: Duration,
     ) -> Result<Response<Bytes>, HttpError> {
-        exchange(&self.pooled, request, timeout).await
+        self.exchange(&self.pooled, request, timeout).await
     }
 
     /// Sends `request` over a new connection and reads the whole response.
@@ -84,43 +124,82 @@
         request: Request<Bytes>,
         timeout: Duration,
     ) -> Result<Response<Bytes>, HttpError> {
-        exchange(&self.unpooled, request, timeout).await
+        self.exchange(&self.unpooled, request, timeout).await
+    }
+
+    async fn exchange(
+        &self,
+        client: &Client<MeteredConnector, Full<Bytes>>,
+        request: Request<Bytes>,
+        timeout: Duration,
+    ) -> Result<Response<Bytes>, HttpError> {
+        let peer = request.uri().authority().map(ToString::to_string).unwrap_or_default();
+        let fail = |step, cause: String, maybe_sent| HttpError {
+            step,
+            peer: peer.clone(),
+            cause,
+            maybe_sent,
+            connection_refused: false,
+            over_budget: false,
+        };
+        let round_trip = async {
+            let response = client.request(request.map(Full::new)).await.map_err(|e| {
+                let connection_refused = is_connection_refused(&e);
+                HttpError {
+                    connection_refused,
+                    ..fail("send request", with_sources(&e), !e.is_connect())
+                }
+            })?;
+            let (head, body) = response.into_parts();
+            let meter = head.extensions.get::<ReadMeter>().cloned().unwrap_or_default();
+            let body = self.read_body(body, meter).await.map_err(|e| {
+                let over_budget = matches!(e, BodyError::OverBudget(_));
+                HttpError { over_budget, ..fail("read response", e.to_string(), true) }
+            })?;
+            Ok(Response::from_parts(head, body))
+        };
+        match tokio::time::timeout(timeout, round_trip).await {
+            Ok(outcome) => outcome,
+            Err(_) => {
+                Err(fail("await response", format!("none within {} ms", timeout.as_millis()), true))
+            }
+        }
     }
-}
 
-async fn exchange(
-    client: &Client<HttpConnector, Full<Bytes>>,
-    request: Request<Bytes>,
-    timeout: Duration,
-) -> Result<Response<Bytes>, HttpError> {
-    let peer = request.uri().authority().map(ToString::to_string).unwrap_or_default();
-    let fail = |step, cause: String, maybe_sent| HttpError {
-        step,
-        peer: peer.clone(),
-        cause,
-        maybe_sent,
-        connection_refused: false,
-    };
-    let round_trip = async {
-        let response = client.request(request.map(Full::new)).await.map_err(|e| {
-            let connection_refused = is_connection_refused(&e);
-            HttpError {
-                connection_refused,
-                ..fail("send request", with_sources(&e), !e.is_connect())
+    async fn read_body(&self, body: Incoming, meter: ReadMeter) -> Result<Bytes, BodyError> {
+        meter.reset();
+        let length = body.size_hint().exact().map_or(MAX_RESPONSE_BYTES, |l| l as usize);
+        if length > MAX_RESPONSE_BYTES {
+            return Err(BodyError::TooLong);
+        }
+        let mut body = MeteredBody { body, meter };
+        let mut held = HeldBody::new(self.budget.clone(), length);
+        while let Some(frame) = body.frame().await {
+            let Ok(data) = frame?.into_data() else { continue };
+            if held.len() + data.len() > MAX_RESPONSE_BYTES {
+                return Err(BodyError::TooLong);
             }
-        })?;
-        let (head, body) = response.into_parts();
-        let body = Limited::new(body, MAX_RESPONSE_BYTES)
-            .collect()
-            .await
-            .map_err(|e| fail("read response", e.to_string(), true))?;
-        Ok(Response::from_parts(head, body.to_bytes()))
-    };
-    match tokio::time::timeout(timeout, round_trip).await {
-        Ok(outcome) => outcome,
-        Err(_) => {
-            Err(fail("await response", format!("none within {} ms", timeout.as_millis()), true))
+            held.append(&data)?;
         }
+        Ok(held.into_bytes())
+    }
+}
+
+impl Service<Uri> for MeteredConnector {
+    type Response = TokioIo<MeteredStream>;
+    type Error = <HttpConnector as Service<Uri>>::Error;
+    type Future = Pin<Box<dyn Future<Output = Result<Self::Response, Self::Error>> + Send>>;
+
+    fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), Self::Error>> {
+        self.0.poll_ready(cx)
+    }
+
+    fn call(&mut self, uri: Uri) -> Self::Future {
+        let connect = self.0.call(uri);
+        Box::pin(async move {
+            let (stream, meter) = (connect.await?.into_inner(), ReadMeter::default());
+            Ok(TokioIo::new(MeteredStream { stream, meter }))
+        })
     }
 }
 
--- a/src/front/metered.rs
+++ b/src/net/metered.rs
@@ -9,6 +9,7 @@
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper_util::client::legacy::connect::{Connected, Connection};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -38,6 +39,13 @@
     pub(crate) meter: ReadMeter,
 }
 
+/// Passes the meter on to the responses of a pooled connection, as an extension.
+impl Connection for MeteredStream {
+    fn connected(&self) -> Connected {
+        self.stream.connected().extra(self.meter.clone())
+    }
+}
+
 /// A response's body; its frames reset the meter of their connection.
 #[derive(Debug)]
 pub(crate) struct MeteredBody {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,11 +5,13 @@
 mod connection;
 mod headers;
 mod linger;
+mod metered;
 mod port;
 mod progress;
 mod read_ahead;
 mod respond;
 mod response;
+mod response_budget;
 mod serve;
 mod tls;
 mod tracked;
@@ -17,6 +19,7 @@
 pub use client::{HttpClient, HttpError};
 pub use connection::ConnectionLimits;
 pub(crate) use headers::{connection_options, header_text, is_hop_by_hop};
+pub(crate) use metered::{MeteredBody, MeteredStream, ReadMeter};
 pub use port::{PortState, check_port};
 pub use read_ahead::{
     Admission, AheadBudget, Followers, OverlapKind, RequestHead, StartDecision, Step, Tracker,
@@ -24,5 +27,6 @@
 };
 pub use respond::{Arrival, Respond};
 pub use response::{bytes_response, full_body, json_response, text_response};
+pub use response_budget::{OverBudget, ResponseBudget};
 pub use serve::Server;
 pub use tls::tls_acceptor;
--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -225,7 +225,7 @@
     node.metrics.forwards.inc();
     let _in_flight = peer.count_forward(admitted.service.as_str());
     match peer.client.call(Body::Forward(forward), time_limit + HOP_MARGIN).await {
-        Ok(Body::Answer(answer)) => answer,
+        Ok(Body::Answer(answer)) => hold(node, answer),
         Ok(_) => {
             let cause = format!("{} responded with a message that is not an answer", candidate.vm);
             failed_answer(Outcome::Unknown, "", cause)
@@ -237,6 +237,14 @@
     }
 }
 
+/// Counts a peer's answer against the budget for responses.
+fn hold(node: &Node, answer: Answer) -> Answer {
+    match node.responses.copy(&answer.body) {
+        Ok(body) => Answer { body, ..answer },
+        Err(e) => failed_answer(Outcome::Unknown, &answer.target, e.to_string()),
+    }
+}
+
 /// Decides what follows an attempt and adds its outcome to `history`.
 fn decide_next(
     node: &Node,
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -40,7 +40,7 @@
 
 use crate::config::Config;
 use crate::model::{Object, ObjectKind};
-use crate::net::HttpClient;
+use crate::net::{HttpClient, ResponseBudget};
 use crate::once::ClaimStore;
 use crate::peer::{Body, Identity, Objects};
 use crate::spread::{Catalog, ConfigView, OfferOutcome};
@@ -53,12 +53,18 @@
 pub use status::Status;
 pub use stop_schedule::{DaemonStop, RequestsInProgress};
 
+/// Bytes of all responses of targets and peers that a daemon holds at once.
+const RESPONSE_BYTES_MAX: usize = 64 << 20;
+
 /// The state that all tasks of a daemon share.
 pub(crate) struct Node {
     pub(crate) config: Config,
     pub(crate) me: Identity,
     pub(crate) store: Arc<dyn Store>,
+    /// Client for targets; its responses count against `responses`.
     pub(crate) client: HttpClient,
+    /// Bounds the responses of targets, also of those that peers have sent on.
+    pub(crate) responses: Arc<ResponseBudget>,
     /// Never locked across an await.
     catalog: Mutex<Catalog>,
     /// Built from the catalog; replaced whole whenever the catalog changes.
@@ -81,9 +87,11 @@
 impl Node {
     fn new(config: Config, me: Identity, tracer: trace::Tracer) -> anyhow::Result<Arc<Self>> {
         let now = Instant::now();
-        let client = HttpClient::new(config.bind);
+        let responses = ResponseBudget::new(RESPONSE_BYTES_MAX);
+        let client = HttpClient::with_budget(config.bind, responses.clone());
+        // The store has a client of its own, so that targets can't use up its budget.
         let store: Arc<dyn Store> =
-            Arc::new(HttpStore::new(client.clone(), config.store.addr.to_string()));
+            Arc::new(HttpStore::new(HttpClient::new(config.bind), config.store.addr.to_string()));
         let own_status = crate::escrow::PeerStatus {
             vm: me.vm.clone(),
             zone: me.place.zone.clone(),
@@ -115,6 +123,7 @@
             me,
             store,
             client,
+            responses,
         }))
     }
 
--- a/src/node/probe.rs
+++ b/src/node/probe.rs
@@ -91,6 +91,7 @@
     node.egress.with_dispatcher(service, |dispatcher, rng| match result.outcome {
         Ok(report) => dispatcher.record_probe(now, id, Some(report.running), rng),
         Err(e) if e.connection_refused => dispatcher.record_crash(now, id, rng),
+        Err(e) if e.over_budget => Vec::new(),
         Err(_) => dispatcher.record_probe(now, id, None, rng),
     });
 }
@@ -116,5 +117,6 @@
         cause: e.to_string(),
         maybe_sent: true,
         connection_refused: false,
+        over_budget: false,
     })
 }
--- a/src/node/refusal.rs
+++ b/src/node/refusal.rs
@@ -66,7 +66,8 @@
     NoTarget,
     /// The deadline has passed.
     TimedOut,
-    /// The target sent no valid response or crashed, or the session with its VM failed.
+    /// The target sent no valid response or crashed, the session with its VM failed, or there was no
+    /// memory for the response.
     TargetFailed,
     /// The daemon has no configuration yet.
     NotReady,
--- a/src/node/target_call.rs
+++ b/src/node/target_call.rs
@@ -85,6 +85,10 @@
         }
         return failed_answer(Outcome::NotReached, target, cause);
     }
+    if error.over_budget {
+        held.result = AttemptResult::GivenUp;
+        return failed_answer(Outcome::Unknown, target, cause);
+    }
     if has_crashed(node, held.slot.addr).await {
         held.result = AttemptResult::Died;
         return failed_answer(Outcome::Died, target, cause);
--- a/src/targets/tracked.rs
+++ b/src/targets/tracked.rs
@@ -44,7 +44,7 @@
     Failed,
     /// The target's process ended.
     Died,
-    /// It was cancelled before it ended.
+    /// It was cancelled before it ended, or there was no memory for its response.
     GivenUp,
 }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -47,6 +47,11 @@
         self.ports[name].as_str().expect("an address").parse().expect("an address")
     }
 
+    /// The id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn signal(&self, signal: &str) {
         let pid = self.child.id().to_string();
         let status = Command::new("sh").args(["-c", &format!("kill -{signal} {pid}")]).status();
@@ -272,6 +277,19 @@
         self.list(|t| t.leaving).await;
     }
 
+    /// Puts servers of a test's own on the platform's list, as targets of `service` in `zone`.
+    pub async fn list_addrs(&self, service: &str, zone: &str, addrs: &[SocketAddr]) {
+        let target = |(number, addr): (usize, &SocketAddr)| {
+            json!({
+                "id": format!("own-{number}"), "service": service, "slots": 2,
+                "place": {"region": region_of(zone), "zone": zone},
+                "addr": addr, "state": "live",
+            })
+        };
+        let targets: Vec<Value> = addrs.iter().enumerate().map(target).collect();
+        self.set(&self.store, "/vms", &json!({"entries": [], "targets": targets})).await;
+    }
+
     /// Marks a target as leaving on the platform's list.
     pub async fn list_leaving(&self, number: usize) {
         let id = &self.targets[number].id;
