Peers: a session without the secret holds no large frame

Anyone who can connect to the port for sessions could make the VM buffer a frame of 12 MiB for each connection until the handshake timed out. The codec now allows 16 KiB until the handshake has ended.

--- a/src/peer/handshake.rs
+++ b/src/peer/handshake.rs
@@ -12,6 +12,7 @@
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 use zeroize::Zeroizing;
 
+use super::FRAME_BYTES_MAX;
 use crate::model::{Incarnation, Place, VmId};
 
 /// Version of the protocol. Peers with another version are refused.
@@ -115,6 +116,7 @@
     verify(secret, Side::Answering, &own, &remote)?;
     let proof = prove(secret, Side::Dialling, &own, &remote)?;
     send(frames, &Hello { proof, ..own }).await.context("send proof")?;
+    frames.codec_mut().set_max_frame_length(FRAME_BYTES_MAX);
     Ok(peer)
 }
 
@@ -133,6 +135,7 @@
     let unsigned = Hello { proof: Vec::new(), ..signed.clone() };
     ensure!(unsigned == remote, "peer changed its hello during the handshake");
     verify(secret, Side::Dialling, &signed, &own)?;
+    frames.codec_mut().set_max_frame_length(FRAME_BYTES_MAX);
     Ok(peer)
 }
 
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -28,7 +28,10 @@
 /// Largest frame, in bytes. It must hold the body and headers of a request or response.
 pub(crate) const FRAME_BYTES_MAX: usize = 12 << 20;
 
-/// The codec of all sessions.
+/// Largest frame of the handshake, in bytes: the other end may be anyone.
+pub(crate) const HELLO_BYTES_MAX: usize = 16 << 10;
+
+/// The codec of all sessions. The handshake raises its limit to [`FRAME_BYTES_MAX`].
 pub(crate) fn codec() -> tokio_util::codec::LengthDelimitedCodec {
-    tokio_util::codec::LengthDelimitedCodec::builder().max_frame_length(FRAME_BYTES_MAX).new_codec()
+    tokio_util::codec::LengthDelimitedCodec::builder().max_frame_length(HELLO_BYTES_MAX).new_codec()
 }
