--- a/src/front/outbound.rs
+++ b/src/front/outbound.rs
@@ -16,10 +16,12 @@
 use tokio::task::AbortHandle;
 
 use crate::clock;
-use crate::net::{ByteBudget, HeldBytes, HoldKind, connection_options, header_text};
+use crate::net::{
+    ByteBudget, HeldBytes, HoldKind, MeteredBody, MeteredStream, READ_BUFFER_MAX, ReadMeter,
+    connection_options, header_text,
+};
 
 use super::body_buffer::read_start;
-use super::metered::{MeteredBody, MeteredStream, READ_BUFFER_MAX, ReadMeter};
 
 /// Timeout of opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
--- a/src/front/metered.rs
+++ b/src/net/metered.rs
@@ -9,11 +9,12 @@
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper_util::client::legacy::connect::{Connected, Connection};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::Sleep;
 
-use crate::net::{HeldBytes, UNCOUNTED_BYTES};
+use super::byte_budget::{ByteBudget, HeldBytes, HoldKind, UNCOUNTED_BYTES};
 
 /// Most bytes that may be read without a part of a response; larger than the read buffer, since a
 /// part may come from all of it.
@@ -40,6 +41,13 @@
     held: HeldBytes,
 }
 
+/// A meter whose connection's buffer counts towards no budget.
+impl Default for ReadMeter {
+    fn default() -> Self {
+        Self::new(ByteBudget::unlimited().hold(HoldKind::Response))
+    }
+}
+
 impl ReadMeter {
     /// A meter that counts towards the budget of `held`.
     pub(crate) fn new(held: HeldBytes) -> Self {
@@ -140,6 +148,13 @@
     }
 }
 
+/// Passes the meter on to the responses of a pooled connection, as an extension.
+impl Connection for MeteredStream {
+    fn connected(&self) -> Connected {
+        self.stream.connected().extra(self.meter.clone())
+    }
+}
+
 /// A response's body; its frames reset the meter of their connection.
 #[derive(Debug)]
 pub(crate) struct MeteredBody {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,20 +6,22 @@
 mod connection;
 mod headers;
 mod linger;
+mod metered;
 mod port;
 mod progress;
 mod read_ahead;
 mod respond;
 mod response;
+mod response_budget;
 mod serve;
 mod tls;
 mod tracked;
 
-pub(crate) use byte_budget::UNCOUNTED_BYTES;
 pub use byte_budget::{ByteBudget, HeldBytes, HoldKind};
 pub use client::{HttpClient, HttpError};
 pub use connection::ConnectionLimits;
 pub(crate) use headers::{connection_options, header_text, is_hop_by_hop};
+pub(crate) use metered::{MeteredBody, MeteredStream, READ_BUFFER_MAX, ReadMeter};
 pub use port::{PortState, check_port};
 pub use read_ahead::{
     Admission, AheadBudget, LaterRequests, OverlapKind, RequestHead, StartDecision, Step, Tracker,
@@ -27,6 +29,7 @@
 };
 pub use respond::{Arrival, Respond};
 pub use response::{bytes_response, full_body, json_response, text_response};
+pub use response_budget::{OverBudget, ResponseBudget};
 pub use serve::Server;
 pub use tls::tls_acceptor;
 pub(crate) use tracked::hold_until_sent;
