Front: buffered bodies of requests count, and a long one without room is refused

Cause: bodies of requests were bounded one by one (64 KB), not in sum. Change: they count as bytes ahead beyond 8 KB; without room the request gets 503 no-memory before it is sent. Small bodies, of responses too, need no room.

--- a/src/front/body_buffer.rs
+++ b/src/front/body_buffer.rs
@@ -3,15 +3,27 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
+use macro_rules_attribute::apply;
 
-use crate::net::HeldBytes;
+use crate::common::plain;
+use crate::net::{HeldBytes, UNCOUNTED_BYTES};
+
+/// Where the reading of a body ended.
+#[apply(plain!)]
+pub(crate) enum ReadEnd {
+    /// At its end.
+    Whole,
+    /// At the limit of its length.
+    Limit,
+    /// There was no room to hold more.
+    NoRoom,
+}
 
 /// The start of a body.
 pub(crate) struct BodyStart {
     /// The bytes that have been read. What was held for them is released when they are dropped.
     pub(crate) chunks: Vec<Bytes>,
-    /// True if they are the whole body.
-    pub(crate) complete: bool,
+    pub(crate) end: ReadEnd,
 }
 
 impl BodyStart {
@@ -39,15 +51,15 @@
     let mut buffer = HeldBuffer { bytes: Vec::new(), limit, held };
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame?.into_data() else { continue };
-        if !buffer.try_add(&data) {
+        if let Err(end) = buffer.add(&data) {
             let chunks = [buffer.into_bytes(), data].into_iter().filter(|c| !c.is_empty());
-            return Ok(BodyStart { chunks: chunks.collect(), complete: false });
+            return Ok(BodyStart { chunks: chunks.collect(), end });
         }
     }
-    Ok(BodyStart { chunks: vec![buffer.into_bytes()], complete: true })
+    Ok(BodyStart { chunks: vec![buffer.into_bytes()], end: ReadEnd::Whole })
 }
 
-/// Bytes whose allocation is held.
+/// Bytes whose allocation is held, beyond [`UNCOUNTED_BYTES`].
 struct HeldBuffer {
     bytes: Vec<u8>,
     limit: usize,
@@ -61,21 +73,24 @@
 }
 
 impl HeldBuffer {
-    /// Returns false, and changes nothing, if the bytes are too many or there is no room.
-    fn try_add(&mut self, data: &[u8]) -> bool {
+    /// Adds bytes.
+    ///
+    /// # Errors
+    /// Changes nothing if they are too many or there is no room.
+    fn add(&mut self, data: &[u8]) -> Result<(), ReadEnd> {
         let length = self.bytes.len() + data.len();
         if length > self.limit {
-            return false;
+            return Err(ReadEnd::Limit);
         }
         if length > self.bytes.capacity() {
             let capacity = length.max(2 * self.bytes.capacity()).min(self.limit);
-            if !self.held.try_set(capacity) {
-                return false;
+            if !self.held.try_set(capacity.saturating_sub(UNCOUNTED_BYTES)) {
+                return Err(ReadEnd::NoRoom);
             }
             self.bytes.reserve_exact(capacity - self.bytes.len());
         }
         self.bytes.extend_from_slice(data);
-        true
+        Ok(())
     }
 
     fn into_bytes(self) -> Bytes {
--- a/src/front/ingress.rs
+++ b/src/front/ingress.rs
@@ -15,13 +15,13 @@
 
 use crate::clock;
 use crate::model::ServiceId;
-use crate::net::{Arrival, Followers, Respond, full_body, header_text, text_response};
+use crate::net::{Arrival, Followers, HoldKind, Respond, full_body, header_text, text_response};
 use crate::steer::{Access, Customer, PickRequest, Rank, TableIndex, WeightedService, name_hash};
 use crate::targets::CrashTracker;
 
 use super::admission::TokenRefusal;
+use super::body_buffer::{ReadEnd, read_start};
 use super::metrics::RequestLabels;
-use super::outbound::read_up_to;
 use super::request::{Admitted, RequestBody, RequestError, RequestLog, path_and_query};
 use super::{Front, admission, attempt, in_flight};
 
@@ -208,7 +208,7 @@
         }
         None => None,
     };
-    let body = read_body(body, deadline).await?;
+    let body = read_body(front, body, deadline).await?;
     let fingerprint = fingerprint(customer.as_ref(), &head, &body);
     let retry_class = index.ranks().retry_class(&service, rank);
     let admitted = Admitted {
@@ -324,12 +324,22 @@
     value.map_or(Duration::MAX / 4, Duration::from_millis)
 }
 
-async fn read_body(mut body: Body, deadline: Duration) -> Result<RequestBody, RequestError> {
+async fn read_body(
+    front: &Front,
+    mut body: Body,
+    deadline: Duration,
+) -> Result<RequestBody, RequestError> {
     let left = deadline.saturating_sub(clock::now());
-    match tokio::time::timeout(left, read_up_to(&mut body, BUFFERED_BODY_MAX)).await {
-        Ok(Ok((chunks, true))) => Ok(RequestBody::Buffered(chunks.concat().into())),
-        Ok(Ok((chunks, false))) => Ok(RequestBody::Streamed(chunks, body)),
-        Ok(Err(e)) => Err(RequestError::new(StatusCode::BAD_REQUEST, "bad-body", e)),
+    let held = front.target_client.budget.hold(HoldKind::Ahead);
+    match tokio::time::timeout(left, read_start(&mut body, BUFFERED_BODY_MAX, held)).await {
+        Ok(Ok(start)) => match start.end {
+            ReadEnd::Whole => Ok(RequestBody::Buffered(start.into_bytes())),
+            ReadEnd::Limit => Ok(RequestBody::Streamed(start.chunks, body)),
+            ReadEnd::NoRoom => {
+                Err(RequestError::not_run("no-memory", "too much is held for other bodies"))
+            }
+        },
+        Ok(Err(e)) => Err(RequestError::new(StatusCode::BAD_REQUEST, "bad-body", e.to_string())),
         Err(_) => Err(RequestError::new(
             StatusCode::REQUEST_TIMEOUT,
             "slow-body",
--- a/src/front/outbound.rs
+++ b/src/front/outbound.rs
@@ -6,7 +6,6 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use bytes::Bytes;
 use gotham::helpers::http::Body;
 use http::{HeaderMap, Request, Response};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -18,7 +17,6 @@
 use crate::clock;
 use crate::net::{ByteBudget, HeldBytes, HoldKind, connection_options, header_text};
 
-use super::body_buffer::read_start;
 use super::metered::{MeteredBody, MeteredStream, READ_BUFFER_MAX, ReadMeter};
 
 /// Timeout of opening a connection.
@@ -252,14 +250,3 @@
         .map(Duration::from_secs);
     timeout.map_or(IDLE_TIMEOUT, |t| t.saturating_sub(IDLE_MARGIN).min(IDLE_TIMEOUT))
 }
-
-/// Reads a body until its end or until more than `limit` bytes are read. Returns the chunks, and
-/// whether the body is complete.
-pub(crate) async fn read_up_to(
-    body: &mut (impl hyper::body::Body<Data = Bytes, Error: std::fmt::Display> + Unpin),
-    limit: usize,
-) -> Result<(Vec<Bytes>, bool), String> {
-    let held = ByteBudget::unlimited().hold(HoldKind::Request);
-    let start = read_start(body, limit, held).await.map_err(|e| e.to_string())?;
-    Ok((start.chunks, start.complete))
-}
--- a/src/front/response.rs
+++ b/src/front/response.rs
@@ -18,7 +18,7 @@
 use crate::net::{connection_options, full_body, header_text, is_hop_by_hop};
 
 use super::Headers;
-use super::body_buffer::read_start;
+use super::body_buffer::{ReadEnd, read_start};
 use super::metered::MeteredBody;
 use super::outbound::Lease;
 use super::request::Admitted;
@@ -67,14 +67,15 @@
         Ok(start) => start,
         Err(e) => return AttemptOutcome::Lost(format!("the response was aborted: {e}")),
     };
+    let complete = start.end == ReadEnd::Whole;
     if not_run {
-        if start.complete {
+        if complete {
             lease.release();
         }
         return AttemptOutcome::NotRun { status: head.status };
     }
     let server_error = head.status.is_server_error();
-    let body = if start.complete {
+    let body = if complete {
         lease.release();
         full_body(start.into_bytes())
     } else {
--- a/src/net/byte_budget.rs
+++ b/src/net/byte_budget.rs
@@ -18,7 +18,7 @@
 /// ending.
 #[apply(plain!)]
 pub enum HoldKind {
-    /// What callers send ahead of its turn.
+    /// What callers send ahead of its turn, and bodies of requests.
     Ahead,
     /// Requests in their turn or running.
     Request,
