--- /dev/null
+++ b/tests/stop_requests.rs
@@ -0,0 +1,55 @@
+//! A planned stop with requests of the VM's own callers that outlive it, with clients that hold a
+//! connection, and signals that are no stop. Real processes.
+
+mod common;
+
+use common::{Call, Fleet, desk_document};
+use shallotstall::standin::TargetFaults;
+
+/// Time for which the requests run, in milliseconds; longer than the stop, and so is their time limit.
+const LONG_WORK_MS: u64 = 40_000;
+
+/// A fleet of one VM with one target of few slots, whose requests outlive a stop, and a customer's key.
+async fn fleet() -> (Fleet, String) {
+    let mut fleet = Fleet::new(&[("desk", "n1", 8)]).await;
+    let short_stop = "ttl_ms = 300\n[stop]\ndrain_ms = 1000\n[operators]\n";
+    fleet.start_vm_with("n1-a", "ttl_ms = 300\n[operators]\n", short_stop);
+    fleet.await_mesh().await;
+    let document = desk_document(&["n1"], 2_000.0, 2_000);
+    let document = document.replace("answer_ms = 2000", "answer_ms = 60000");
+    let document = format!("{document}[limits]\nqueue_ms = 60000\n");
+    fleet.apply("n1-a", "desk", &document).await;
+    let key = fleet.issue("n1-a", "a").await;
+    fleet.await_response("n1-a", "/desk/read", &key, 200).await;
+    let faults = TargetFaults { work_ms: LONG_WORK_MS, ..TargetFaults::default() };
+    fleet.target_faults(0, &faults).await;
+    (fleet, key)
+}
+
+/// Waits until requests whose path contains `path` run at the target.
+async fn await_run(fleet: &Fleet, path: &str) {
+    let what = format!("{path} runs at the target");
+    let runs = async || fleet.runs(0).await.iter().any(|run| run.path.contains(path));
+    fleet.eventually(&what, runs).await;
+}
+
+/// Guards against a SIGHUP that ends the daemon, and all requests in flight with it.
+#[tokio::test]
+async fn a_hangup_ends_neither_the_daemon_nor_its_stop() {
+    let (mut fleet, key) = fleet().await;
+    let addr = fleet.vm("n1-a").addr("callers").to_string();
+    let mut vm = fleet.vms.remove("n1-a").expect("a running VM");
+    let faults = TargetFaults { work_ms: 400, ..TargetFaults::default() };
+    fleet.target_faults(0, &faults).await;
+    let call = async || fleet.send_to(&addr, Call::post("/desk/note", "x").key(&key)).await;
+    let hangup = async {
+        await_run(&fleet, "/note").await;
+        vm.signal("HUP");
+    };
+    let (response, ()) = tokio::join!(call(), hangup);
+    assert_eq!(response.expect("a response").status, 200);
+    assert_eq!(call().await.expect("a response").status, 200);
+    vm.signal("TERM");
+    vm.signal("HUP");
+    assert_eq!(vm.wait().await, 0, "the stop goes on");
+}
