Stops: a client of the operators' port does not hold the exit

The stop of the daemon waited without a bound for connections of operators. They now get 2 s, beside the end of the sessions.

Measured: tests/stop_requests.rs, an_operator_who_sends_no_more_does_not_hold_the_exit: without the change, the process had not exited after 60 s; it passes with it.

--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -116,9 +116,13 @@
             log::warn!("daemon: Stopped in state {:?}.", node.lifecycle.state());
         }
         let now = clock::now();
-        self.sessions.shutdown(schedule.sessions_by(now).saturating_sub(now)).await;
+        let sessions = self.sessions.shutdown(schedule.sessions_by(now).saturating_sub(now));
+        let limit = schedule.operators_by(now).saturating_sub(now);
+        let operators = tokio::time::timeout(limit, self.operators.shutdown());
+        if let ((), Err(_)) = tokio::join!(sessions, operators) {
+            log::warn!("daemon: Operators' requests took longer than {} ms.", limit.as_millis());
+        }
         self.tasks.iter().for_each(JoinHandle::abort);
-        self.operators.shutdown().await;
         log::info!("daemon: {} has stopped.", node.me.vm);
     }
 }
--- a/src/node/stop_schedule.rs
+++ b/src/node/stop_schedule.rs
@@ -15,6 +15,8 @@
 /// less.
 const SETTLE_PERIOD: Duration = Duration::from_secs(4);
 
+/// Time for the last requests of operators, whose clients may be gone or slow.
+const OPERATOR_PERIOD: Duration = Duration::from_secs(2);
 /// Time to write the last responses of sessions, and for the other ends to read them.
 const SESSION_PERIOD: Duration = Duration::from_secs(2);
 
@@ -106,6 +108,11 @@
         began_at.saturating_add(SETTLE_PERIOD)
     }
 
+    /// Until when operators' requests in progress may last, if no connection is accepted from `began_at`.
+    pub fn operators_by(&self, began_at: Duration) -> Duration {
+        began_at.saturating_add(OPERATOR_PERIOD)
+    }
+
     /// Until when the responses of sessions may take to be written, if no further call is accepted from
     /// `began_at`.
     pub fn sessions_by(&self, began_at: Duration) -> Duration {
--- a/tests/daemon_stop.rs
+++ b/tests/daemon_stop.rs
@@ -82,9 +82,13 @@
 fn every_step_of_the_handover_has_a_bound() {
     let stop = DaemonStop::new(START, ms(5_000), ms(60_000));
     for began_at in [START, stop.exit_at(), stop.exit_at() + ms(90_000)] {
-        for until in
-            [stop.roster_by(began_at), stop.settle_by(began_at), stop.sessions_by(began_at)]
-        {
+        let ends = [
+            stop.roster_by(began_at),
+            stop.settle_by(began_at),
+            stop.sessions_by(began_at),
+            stop.operators_by(began_at),
+        ];
+        for until in ends {
             assert!(until > began_at && until <= began_at + ms(5_000));
         }
     }
--- a/tests/stop_requests.rs
+++ b/tests/stop_requests.rs
@@ -3,8 +3,13 @@
 
 mod common;
 
+use std::net::SocketAddr;
+use std::time::Duration;
+
 use common::{Call, Fleet, desk_document};
 use shallotstall::standin::TargetFaults;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
 /// Time for which the requests run, in milliseconds; longer than the stop, and so is their time limit.
 const LONG_WORK_MS: u64 = 40_000;
@@ -33,6 +38,29 @@
     fleet.eventually(&what, runs).await;
 }
 
+/// Sends a head that promises a body, and no body.
+async fn hold_connection(addr: SocketAddr) -> TcpStream {
+    let mut connection = TcpStream::connect(addr).await.expect("a connection");
+    let head = "PUT /v1/services/desk HTTP/1.1\r\nhost: vm\r\ncontent-length: 100\r\n\r\n";
+    connection.write_all(head.as_bytes()).await.expect("the head is sent");
+    connection
+}
+
+/// Guards against an exit that waits without a bound for a client of the operators' port.
+#[tokio::test]
+async fn an_operator_who_sends_no_more_does_not_hold_the_exit() {
+    let (mut fleet, _) = fleet().await;
+    let mut stopped = fleet.vms.remove("n1-a").expect("a running VM");
+    let held = hold_connection(stopped.addr("operators")).await;
+    // The daemon has read it once it answers a later connection.
+    let ready = stopped.addr("operators");
+    drop(TcpStream::connect(ready).await.expect("a connection"));
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    stopped.signal("TERM");
+    assert_eq!(stopped.wait().await, 0);
+    drop(held);
+}
+
 /// Guards against a SIGHUP that ends the daemon, and all requests in flight with it.
 #[tokio::test]
 async fn a_hangup_ends_neither_the_daemon_nor_its_stop() {
