Stops: callers' requests that outlive the daemon get an error before the exit

Callers saw: a request from before the stop whose time limit ends after `stop.drain_ms` got no response; its connection was closed when the process ended.

Keyed ones settle their claims as unknown. What is pipelined behind them is not read; their response closes the connection. A request that waits for a VM with targets is refused once it can't end in time.

--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -54,6 +54,13 @@
             self.cause = "this VM is stopping".to_owned();
         }
     }
+
+    /// Gives up an attempt in progress, since this VM is about to exit.
+    fn cut(&mut self) {
+        self.may_have_run = true;
+        self.reason = Some(Reason::Stopping);
+        self.cause = "this VM is stopping, and the target has not answered yet".to_owned();
+    }
 }
 
 /// What follows an attempt.
@@ -79,6 +86,10 @@
             history.reason = Some(Reason::TimedOut);
             break;
         }
+        if !may_send(node, &history, left) {
+            history.stop();
+            break;
+        }
         let Some(candidate) = pick_candidate(node, admitted, &history, now, sample) else {
             let wait = wait_left(admitted, builder, now);
             history.outage = outage::find(node, admitted, now, &full_regions(node, admitted, now));
@@ -90,12 +101,16 @@
             }
             break;
         };
-        if !may_send(node, &history, left) {
-            history.stop();
-            break;
-        }
         history.attempts += 1;
-        let answer = send(node, admitted, &candidate, &history, left).await;
+        let answer = tokio::select! {
+            // Of both, the answer says more: also that no target got the request.
+            biased;
+            answer = send(node, admitted, &candidate, &history, left) => answer,
+            () = node.lifecycle.requests_end() => {
+                history.cut();
+                break;
+            }
+        };
         let mut text =
             format!("{:?} by {} {}", decode_outcome(&answer), answer.target, answer.cause);
         if !answer.passed_over.is_empty() {
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -275,10 +275,15 @@
 fn check_stop(node: &Node, admitted: &Admitted) -> Result<(), Refusal> {
     match node.lifecycle.accepts(admitted.left(Instant::now())) {
         true => Ok(()),
-        false => Err(Refusal::not_run(Reason::Stopping, "this VM is stopping")),
+        false => Err(stopping()),
     }
 }
 
+/// The refusal of a request that was sent to no target, since this VM is stopping.
+fn stopping() -> Refusal {
+    Refusal::not_run(Reason::Stopping, "this VM is stopping")
+}
+
 async fn take_token(
     node: &Node,
     admitted: &Admitted,
@@ -287,7 +292,13 @@
     let start = Instant::now();
     let limit = Duration::from_millis(admitted.document.limits.token_ms);
     let timeout = limit.min(admitted.left(start));
-    match escrow::take_token(node, &admitted.account(), timeout).await {
+    let account = admitted.account();
+    let outcome = tokio::select! {
+        biased;
+        outcome = escrow::take_token(node, &account, timeout) => outcome,
+        () = node.lifecycle.requests_end() => return Err(stopping()),
+    };
+    match outcome {
         escrow::TokenOutcome::Taken => {
             builder.add_step("rate", format!("token after {} us", start.elapsed().as_micros()));
             Ok(())
--- a/src/node/lifecycle.rs
+++ b/src/node/lifecycle.rs
@@ -5,6 +5,7 @@
 
 use macro_rules_attribute::apply;
 use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
 
 use crate::chart::StateChart;
 use crate::clock;
@@ -50,11 +51,17 @@
     state: Mutex<DaemonState>,
     /// Set when a graceful stop has begun.
     schedule: OnceLock<DaemonStop>,
+    /// True once requests in progress must get a response, since the daemon is about to exit.
+    requests_end: watch::Sender<bool>,
 }
 
 impl Default for Lifecycle {
     fn default() -> Self {
-        Self { state: Mutex::new(chart().initial()), schedule: OnceLock::new() }
+        Self {
+            state: Mutex::new(chart().initial()),
+            schedule: OnceLock::new(),
+            requests_end: watch::Sender::new(false),
+        }
     }
 }
 
@@ -97,6 +104,17 @@
         self.schedule.get().is_none_or(|s| s.may_retry(now, now.saturating_add(left)))
     }
 
+    /// Ends the requests of callers that are still in progress.
+    pub(crate) fn end_requests(&self) {
+        self.requests_end.send_replace(true);
+    }
+
+    /// Returns when requests in progress must end with an error.
+    pub(crate) async fn requests_end(&self) {
+        // Does not fail: the sender is here.
+        let _ = self.requests_end.subscribe().wait_for(|end| *end).await;
+    }
+
     /// Applies an event and returns the new state.
     pub(crate) fn apply(&self, event: DaemonEvent) -> DaemonState {
         let mut state = self.state.lock().expect("lifecycle lock");
--- a/src/node/refusal.rs
+++ b/src/node/refusal.rs
@@ -150,8 +150,16 @@
         self
     }
 
+    fn status(&self) -> StatusCode {
+        match (self.reason, self.attempt) {
+            // 503 would say that it has not run.
+            (Reason::Stopping, RunStatus::Unknown) => StatusCode::GATEWAY_TIMEOUT,
+            (reason, _) => reason.status(),
+        }
+    }
+
     pub(crate) fn response(&self) -> Response<Bytes> {
-        let mut response = json_response(self.reason.status(), self);
+        let mut response = json_response(self.status(), self);
         if let Some(ms) = self.retry_ms {
             let seconds = ms.div_ceil(1_000).max(1);
             response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(seconds));
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -93,7 +93,8 @@
     ///
     /// New requests of callers are served until the last look-up that names this VM has expired, and
     /// forwarded ones until those of callers have ended; both only if they end before `stop.drain_ms` is over.
-    /// Forwarded requests from before the stop are waited for until they end.
+    /// Forwarded requests from before the stop are waited for until they end; those of callers that would
+    /// outlive `stop.drain_ms` get an error shortly before.
     pub async fn stop(self) {
         let node = self.node;
         let drain = Duration::from_millis(node.config.stop.drain_ms);
@@ -103,6 +104,7 @@
         self.callers.close_connections();
         tokio::time::sleep(schedule.close_at().saturating_sub(clock::now())).await;
         node.lifecycle.apply(DaemonEvent::NoticeOver);
+        let end_requests = tokio::spawn(end_requests(node.clone(), schedule));
         let left = schedule.exit_at().saturating_sub(clock::now());
         if tokio::time::timeout(left, self.callers.shutdown()).await.is_err() {
             log::error!(
@@ -110,6 +112,7 @@
                 drain.as_millis()
             );
         }
+        end_requests.abort();
         handover::run(&node, schedule).await;
         node.lifecycle.apply(DaemonEvent::Idle);
         if node.lifecycle.state() != DaemonState::Stopped {
@@ -127,6 +130,13 @@
     }
 }
 
+/// Ends the requests that outlive a stop: first those that wait for a slot, which have not run.
+async fn end_requests(node: Arc<Node>, schedule: DaemonStop) {
+    tokio::time::sleep(schedule.fail_at().saturating_sub(clock::now())).await;
+    node.egress.refuse_waiting();
+    node.lifecycle.end_requests();
+}
+
 async fn listen(field: &'static str, addr: SocketAddr) -> Result<TcpListener> {
     TcpListener::bind(addr).await.with_context(|| format!("{field}: listen on {addr}"))
 }
--- a/tests/daemon_stop.rs
+++ b/tests/daemon_stop.rs
@@ -26,6 +26,7 @@
         let deadline = now + ms(timeout);
         if stop.accepts(now, deadline) || stop.may_retry(now, deadline) {
             prop_assert!(deadline < stop.exit_at());
+            prop_assert!(deadline <= stop.fail_at(), "it gets its own response");
         }
         if timeout > 0 && elapsed + timeout + 100 <= notice + drain {
             prop_assert!(stop.accepts(now, deadline), "it ends in time");
--- a/tests/stop_requests.rs
+++ b/tests/stop_requests.rs
@@ -6,13 +6,18 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use common::{Call, Fleet, desk_document};
+use common::{Call, Fleet, TestResponse, desk_document};
+use futures_util::future::join_all;
 use shallotstall::standin::TargetFaults;
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
 /// Time for which the requests run, in milliseconds; longer than the stop, and so is their time limit.
 const LONG_WORK_MS: u64 = 40_000;
+/// Requests sent at once; more than the target has slots.
+const REQUESTS: usize = 12;
+/// How many of them have no idempotency key; fewer than the target has slots.
+const NOTES: usize = 2;
 
 /// A fleet of one VM with one target of few slots, whose requests outlive a stop, and a customer's key.
 async fn fleet() -> (Fleet, String) {
@@ -38,6 +43,78 @@
     fleet.eventually(&what, runs).await;
 }
 
+/// Guards against requests that outlive a stop and get no response, or one that is not true.
+#[tokio::test]
+async fn requests_that_outlive_the_stop_get_an_error_before_the_exit() {
+    let (mut fleet, key) = fleet().await;
+    let addr = fleet.vm("n1-a").addr("callers").to_string();
+    let mut stopped = fleet.vms.remove("n1-a").expect("a running VM");
+    let calls = (0..REQUESTS).map(|n| {
+        let (path, id) = match n < NOTES {
+            true => ("/desk/note", None),
+            false => ("/desk/book", Some(format!("k-{n}"))),
+        };
+        let (fleet, key, addr) = (&fleet, &key, &addr);
+        async move {
+            let call = Call::post(path, "x").key(key);
+            let call = match &id {
+                Some(id) => call.once(id),
+                None => call,
+            };
+            fleet.send_to(addr, call).await.expect("a response")
+        }
+    });
+    let stop = async {
+        await_run(&fleet, "/note").await;
+        await_run(&fleet, "/book").await;
+        stopped.signal("TERM");
+        stopped.wait().await
+    };
+    let (responses, code) = tokio::join!(join_all(calls), stop);
+    assert_eq!(code, 0);
+    let count = |status: u16, attempt: &str| {
+        let is = |r: &&TestResponse| r.status == status && r.body["attempt"] == attempt;
+        responses.iter().filter(is).count()
+    };
+    let runs = fleet.runs(0).await;
+    let ran = runs.iter().filter(|run| run.path.contains("POST")).count();
+    let texts: Vec<&String> = responses.iter().map(|r| &r.text).collect();
+    assert!(ran > 0 && ran < REQUESTS, "{ran} requests ran");
+    assert_eq!(count(504, "unknown"), ran, "{texts:?}");
+    assert_eq!(count(503, "not-run"), REQUESTS - ran, "{texts:?}");
+    assert!(responses.iter().filter(|r| r.status == 504).all(|r| r.reason() == "stopping"));
+}
+
+/// Reads until the connection ends.
+async fn read_all(connection: &mut TcpStream) -> String {
+    let mut bytes = Vec::new();
+    // A reset ends it as well.
+    let _ = connection.read_to_end(&mut bytes).await;
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+/// Guards against requests behind one that outlives the stop on its connection: they must not run, since
+/// their responses could not be written.
+#[tokio::test]
+async fn what_is_pipelined_behind_a_request_that_outlives_the_stop_is_not_run() {
+    let (mut fleet, key) = fleet().await;
+    let mut stopped = fleet.vms.remove("n1-a").expect("a running VM");
+    let mut caller = TcpStream::connect(stopped.addr("callers")).await.expect("a connection");
+    let get =
+        |path: &str| format!("GET /desk/{path} HTTP/1.1\r\nhost: vm\r\nx-api-key: {key}\r\n\r\n");
+    let requests = get("read/first") + &get("read/second") + &get("read/third");
+    caller.write_all(requests.as_bytes()).await.expect("the requests are sent");
+    await_run(&fleet, "/first").await;
+    stopped.signal("TERM");
+    let text = read_all(&mut caller).await;
+    assert_eq!(stopped.wait().await, 0);
+    assert!(text.starts_with("HTTP/1.1 504"), "{text}");
+    assert_eq!(text.matches("HTTP/1.1 ").count(), 1, "{text}");
+    assert!(text.contains("connection: close\r\n"), "{text}");
+    let runs = fleet.runs(0).await;
+    assert!(!runs.iter().any(|r| r.path.contains("second") || r.path.contains("third")));
+}
+
 /// Sends a head that promises a body, and no body.
 async fn hold_connection(addr: SocketAddr) -> TcpStream {
     let mut connection = TcpStream::connect(addr).await.expect("a connection");
