--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -93,7 +93,8 @@
     ///
     /// New requests of callers are served until the last look-up that names this VM has expired, and
     /// forwarded ones until those of callers have ended; both only if they end before `stop.drain_ms` is over.
-    /// Forwarded requests from before the stop are waited for until they end.
+    /// Forwarded requests from before the stop are waited for until they end; those of callers that would
+    /// outlive `stop.drain_ms` get an error shortly before.
     pub async fn stop(self) {
         let node = self.node;
         let drain = Duration::from_millis(node.config.stop.drain_ms);
@@ -103,6 +104,7 @@
         self.callers.close_connections();
         tokio::time::sleep(schedule.close_at().saturating_sub(clock::now())).await;
         node.lifecycle.apply(DaemonEvent::NoticeOver);
+        let end_requests = tokio::spawn(end_requests(node.clone(), schedule));
         let left = schedule.exit_at().saturating_sub(clock::now());
         if tokio::time::timeout(left, self.callers.shutdown()).await.is_err() {
             log::error!(
@@ -110,19 +112,31 @@
                 drain.as_millis()
             );
         }
+        end_requests.abort();
         handover::run(&node, schedule).await;
         node.lifecycle.apply(DaemonEvent::Idle);
         if node.lifecycle.state() != DaemonState::Stopped {
             log::warn!("daemon: Stopped in state {:?}.", node.lifecycle.state());
         }
         let now = clock::now();
-        self.sessions.shutdown(schedule.sessions_by(now).saturating_sub(now)).await;
+        let sessions = self.sessions.shutdown(schedule.sessions_by(now).saturating_sub(now));
+        let limit = schedule.operators_by(now).saturating_sub(now);
+        let operators = tokio::time::timeout(limit, self.operators.shutdown());
+        if let ((), Err(_)) = tokio::join!(sessions, operators) {
+            log::warn!("daemon: Operators' requests took longer than {} ms.", limit.as_millis());
+        }
         self.tasks.iter().for_each(JoinHandle::abort);
-        self.operators.shutdown().await;
         log::info!("daemon: {} has stopped.", node.me.vm);
     }
 }
 
+/// Ends the requests that outlive a stop: first those that wait for a slot, which have not run.
+async fn end_requests(node: Arc<Node>, schedule: DaemonStop) {
+    tokio::time::sleep(schedule.fail_at().saturating_sub(clock::now())).await;
+    node.egress.refuse_waiting();
+    node.lifecycle.end_requests();
+}
+
 async fn listen(field: &'static str, addr: SocketAddr) -> Result<TcpListener> {
     TcpListener::bind(addr).await.with_context(|| format!("{field}: listen on {addr}"))
 }
--- a/src/node/stop_schedule.rs
+++ b/src/node/stop_schedule.rs
@@ -15,6 +15,8 @@
 /// less.
 const SETTLE_PERIOD: Duration = Duration::from_secs(4);
 
+/// Time for the last requests of operators, whose clients may be gone or slow.
+const OPERATOR_PERIOD: Duration = Duration::from_secs(2);
 /// Time to write the last responses of sessions, and for the other ends to read them.
 const SESSION_PERIOD: Duration = Duration::from_secs(2);
 
@@ -66,6 +68,12 @@
         self.requests.exit_at()
     }
 
+    /// When the requests of the VM's own callers that are still in progress get an error, early enough to
+    /// be written before [`Self::exit_at`]. They are from before the stop.
+    pub fn fail_at(&self) -> Duration {
+        self.requests.fail_at(false)
+    }
+
     /// True if a request that times out at `deadline` may be accepted, or sent to a target for the first
     /// time; both for callers' requests and for forwarded ones.
     pub fn accepts(&self, now: Duration, deadline: Duration) -> bool {
@@ -106,6 +114,11 @@
         began_at.saturating_add(SETTLE_PERIOD)
     }
 
+    /// Until when operators' requests in progress may last, if no connection is accepted from `began_at`.
+    pub fn operators_by(&self, began_at: Duration) -> Duration {
+        began_at.saturating_add(OPERATOR_PERIOD)
+    }
+
     /// Until when the responses of sessions may take to be written, if no further call is accepted from
     /// `began_at`.
     pub fn sessions_by(&self, began_at: Duration) -> Duration {
--- a/tests/daemon_stop.rs
+++ b/tests/daemon_stop.rs
@@ -26,6 +26,7 @@
         let deadline = now + ms(timeout);
         if stop.accepts(now, deadline) || stop.may_retry(now, deadline) {
             prop_assert!(deadline < stop.exit_at());
+            prop_assert!(deadline <= stop.fail_at(), "it gets its own response");
         }
         if timeout > 0 && elapsed + timeout + 100 <= notice + drain {
             prop_assert!(stop.accepts(now, deadline), "it ends in time");
@@ -82,9 +83,13 @@
 fn every_step_of_the_handover_has_a_bound() {
     let stop = DaemonStop::new(START, ms(5_000), ms(60_000));
     for began_at in [START, stop.exit_at(), stop.exit_at() + ms(90_000)] {
-        for until in
-            [stop.roster_by(began_at), stop.settle_by(began_at), stop.sessions_by(began_at)]
-        {
+        let ends = [
+            stop.roster_by(began_at),
+            stop.settle_by(began_at),
+            stop.sessions_by(began_at),
+            stop.operators_by(began_at),
+        ];
+        for until in ends {
             assert!(until > began_at && until <= began_at + ms(5_000));
         }
     }
