--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -17,6 +17,7 @@
 mod tls;
 mod tracked;
 
+pub(crate) use byte_budget::UNCOUNTED_BYTES;
 pub use byte_budget::{ByteBudget, HeldBytes, HoldKind};
 pub use client::{HttpClient, HttpError};
 pub use connection::ConnectionLimits;
--- a/src/net/read_ahead/buffer.rs
+++ b/src/net/read_ahead/buffer.rs
@@ -2,7 +2,7 @@
 
 use bytes::{Buf, BytesMut};
 
-use crate::net::byte_budget::{HeldBytes, UNCOUNTED_BYTES};
+use crate::net::{HeldBytes, UNCOUNTED_BYTES};
 
 /// Largest allocation that is kept while the buffer is empty, in bytes.
 const IDLE_CAPACITY_MAX: usize = 1 << 10;
--- a/src/node/stop_schedule.rs
+++ b/src/node/stop_schedule.rs
@@ -71,7 +71,7 @@
     /// When the requests of the VM's own callers that are still in progress get an error, early enough to
     /// be written before [`Self::exit_at`]. They are from before the stop.
     pub fn fail_at(&self) -> Duration {
-        self.requests.fail_at(false)
+        self.requests.respond_by()
     }
 
     /// True if a request that times out at `deadline` may be accepted, or sent to a target for the first
