HTTP client: a bound on the parts of a response body

Such a response costs a caller's whole time limit, and processor time meanwhile. A body now has at most 262,144 parts. The test's bound of bytes read goes back to 32 MiB, since 8 MiB in chunks of one byte (48 MiB) are no longer read.

--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -32,6 +32,8 @@
 const KEEPALIVE_PROBES: u32 = 2;
 /// Largest response body, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
+/// Most parts, such as chunks, of a response body. Each costs time, however small it is.
+const MAX_RESPONSE_PARTS: usize = 256 << 10;
 /// Size of a connection's read buffer, and so the longest head of a response, in bytes.
 const READ_BUFFER_MAX: usize = 64 << 10;
 /// Bytes of all response bodies that a client holds at once, unless it is given a budget.
@@ -63,6 +65,8 @@
     Read(#[from] hyper::Error),
     #[error("the body is longer than {MAX_RESPONSE_BYTES} bytes")]
     TooLong,
+    #[error("the body has more than {MAX_RESPONSE_PARTS} parts")]
+    TooManyParts,
     #[error("{0}")]
     OverBudget(#[from] OverBudget),
 }
@@ -174,7 +178,12 @@
         }
         let mut body = MeteredBody { body, meter };
         let mut held = HeldBody::new(self.budget.clone(), length);
+        let mut parts = 0;
         while let Some(frame) = body.frame().await {
+            parts += 1;
+            if parts > MAX_RESPONSE_PARTS {
+                return Err(BodyError::TooManyParts);
+            }
             let Ok(data) = frame?.into_data() else { continue };
             if held.len() + data.len() > MAX_RESPONSE_BYTES {
                 return Err(BodyError::TooLong);
--- a/tests/endless_responses.rs
+++ b/tests/endless_responses.rs
@@ -16,9 +16,9 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
-/// Most bytes that a client may read of one response: the longest body, 8 MiB, in chunks of one byte
-/// with 6 bytes each, and the kernel's buffers on both sides of the connection.
-const READ_BYTES_MAX: u64 = 64 << 20;
+/// Most bytes that a client may read of one response: the longest body, 8 MiB, with its chunk sizes, and
+/// the kernel's buffers on both sides of the connection.
+const READ_BYTES_MAX: u64 = 32 << 20;
 /// Most memory of a daemon's process, in kB: its budget for responses twice, since a body that grows
 /// is copied, and as much as a daemon without requests may use.
 const DAEMON_KB_MAX: u64 = 2 * (64 << 10) + (48 << 10);
