--- a/src/net/read_ahead/session.rs
+++ b/src/net/read_ahead/session.rs
@@ -222,10 +222,12 @@
         self.held = false;
     }
 
-    /// True if one more head may be held. The first one always may.
+    /// True if what comes next may be followed: the rest of a body, the first head, or one more for which
+    /// there is room.
     fn has_head_room(&self) -> bool {
+        let Some((_, newest)) = self.known.last_key_value() else { return true };
         let held = self.budget.bytes.hold(HoldKind::Ahead);
-        self.known.is_empty() || held.has_room(HEAD_BYTES_MAX)
+        newest.end.is_none() || held.has_room(HEAD_BYTES_MAX)
     }
 
     /// Returns false if more bytes are needed.
--- a/tests/pipelining.rs
+++ b/tests/pipelining.rs
@@ -10,6 +10,7 @@
 use gotham::helpers::http::Body;
 use http::header::CONNECTION;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
+use http_body_util::BodyExt;
 use shallotstall::clock;
 use shallotstall::net::{
     AheadBudget, Arrival, ByteBudget, ConnectionLimits, Respond, Server, full_body, text_response,
@@ -34,7 +35,7 @@
     released: Vec<String>,
 }
 
-/// Responds with the path, once the path has been released.
+/// Responds with the path, once the path has been released. Reads the body if the path says so.
 #[derive(Clone)]
 struct Gate(Arc<watch::Sender<Seen>>);
 
@@ -84,6 +85,9 @@
             s.arrivals.push(arrival);
         });
         let mut guard = CancelGuard(self.clone(), Some(path.clone()));
+        if path.contains("read") {
+            request.into_body().collect().await.expect("the body");
+        }
         assert!(!path.contains("panic"), "a handler panics");
         self.wait_for(&path, |s| s.released.contains(&path)).await;
         guard.1 = None;
@@ -192,8 +196,11 @@
 #[tokio::test]
 async fn requests_are_served_one_by_one_while_there_is_no_room() {
     let mut bench = Bench::start_within(16, ByteBudget::new([0; 3])).await;
-    bench.send(&[get("/1"), get("/2"), post("/3"), get("/4")]).await;
-    for path in ["/1", "/2", "/3", "/4"] {
+    let head =
+        format!("POST /read HTTP/1.1\r\nHost: toll.example\r\nContent-Length: {LONG_BODY}\r\n\r\n");
+    let long = head + &"x".repeat(LONG_BODY);
+    bench.send(&[get("/1"), long, get("/2"), post("/3"), get("/4")]).await;
+    for path in ["/1", "/read", "/2", "/3", "/4"] {
         let seen = bench.gate.started(path).await;
         assert_eq!(seen.started.last().map(String::as_str), Some(path), "{seen:?}");
         bench.gate.release(path);
