--- a/src/steer/stopping.rs
+++ b/src/steer/stopping.rs
@@ -55,9 +55,9 @@
     pub fn within_grace(signal: SignalWindow, grace: Duration) -> Self {
         let after = |fraction| signal.earliest + grace.mul_f64(fraction);
         let exit_at = after(EXIT_FRACTION);
+        let respond_by = after(RESPOND_FRACTION);
         // The platform lets the process cut early requests only late in the grace period, whenever the
         // signal was sent.
-        let respond_by = after(RESPOND_FRACTION);
         let may_cut_at = signal.latest + grace.mul_f64(MAY_CUT_FRACTION);
         let may_cut = may_cut_at <= respond_by;
         let any_timeout = ANY_TIMEOUT_PERIOD.min(grace.mul_f64(ANY_TIMEOUT_FRACTION));
