--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -56,6 +56,23 @@
     pub over_budget: bool,
 }
 
+/// How long a response may take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ResponseTimeouts {
+    /// Until its head has arrived.
+    pub head: Duration,
+    /// Between two parts of its body.
+    pub part: Duration,
+    /// Until it has arrived whole.
+    pub whole: Duration,
+}
+
+impl From<Duration> for ResponseTimeouts {
+    fn from(whole: Duration) -> Self {
+        Self { head: whole, part: whole, whole }
+    }
+}
+
 /// Why a response body can't be read.
 #[derive(Debug, thiserror::Error)]
 enum BodyError {
@@ -67,6 +84,8 @@
     TooManyParts,
     #[error("{0}")]
     OverBudget(#[from] OverBudget),
+    #[error("no part of the body within {} ms", .0.as_millis())]
+    Silent(Duration),
 }
 
 /// An HTTP/1.1 client with a connection pool.
@@ -108,13 +127,13 @@
     /// Sends `request`, over a pooled connection if one is idle, and reads the whole response.
     ///
     /// # Errors
-    /// Fails if the whole response has not arrived within `timeout`.
+    /// Fails if the response does not arrive within `timeouts`; a single duration is the time for the whole.
     pub async fn send(
         &self,
         request: Request<Bytes>,
-        timeout: Duration,
+        timeouts: impl Into<ResponseTimeouts>,
     ) -> Result<Response<Bytes>, HttpError> {
-        self.exchange(&self.pooled, request, timeout).await
+        self.exchange(&self.pooled, request, timeouts.into()).await
     }
 
     /// Sends `request` over a new connection and reads the whole response.
@@ -126,14 +145,14 @@
         request: Request<Bytes>,
         timeout: Duration,
     ) -> Result<Response<Bytes>, HttpError> {
-        self.exchange(&self.unpooled, request, timeout).await
+        self.exchange(&self.unpooled, request, timeout.into()).await
     }
 
     async fn exchange(
         &self,
         client: &Client<MeteredConnector, Full<Bytes>>,
         request: Request<Bytes>,
-        timeout: Duration,
+        timeouts: ResponseTimeouts,
     ) -> Result<Response<Bytes>, HttpError> {
         let peer = request.uri().authority().map(ToString::to_string).unwrap_or_default();
         let fail = |step, cause: String, maybe_sent| HttpError {
@@ -144,8 +163,12 @@
             connection_refused: false,
             over_budget: false,
         };
+        let late = |timeout: Duration| {
+            fail("await response", format!("none within {} ms", timeout.as_millis()), true)
+        };
         let round_trip = async {
-            let response = client.request(request.map(Full::new)).await.map_err(|e| {
+            let head = tokio::time::timeout(timeouts.head, client.request(request.map(Full::new)));
+            let response = head.await.map_err(|_| late(timeouts.head))?.map_err(|e| {
                 let connection_refused = is_connection_refused(&e);
                 HttpError {
                     connection_refused,
@@ -154,21 +177,22 @@
             })?;
             let (head, body) = response.into_parts();
             let meter = head.extensions.get::<ReadMeter>().cloned().unwrap_or_default();
-            let body = self.read_body(body, meter).await.map_err(|e| {
+            let body = self.read_body(body, meter, timeouts.part).await.map_err(|e| {
                 let over_budget = matches!(e, BodyError::OverBudget(_));
                 HttpError { over_budget, ..fail("read response", e.to_string(), true) }
             })?;
             Ok(Response::from_parts(head, body))
         };
-        match tokio::time::timeout(timeout, round_trip).await {
-            Ok(outcome) => outcome,
-            Err(_) => {
-                Err(fail("await response", format!("none within {} ms", timeout.as_millis()), true))
-            }
-        }
+        let outcome = tokio::time::timeout(timeouts.whole, round_trip).await;
+        outcome.unwrap_or_else(|_| Err(late(timeouts.whole)))
     }
 
-    async fn read_body(&self, body: Incoming, meter: ReadMeter) -> Result<Bytes, BodyError> {
+    async fn read_body(
+        &self,
+        body: Incoming,
+        meter: ReadMeter,
+        part_timeout: Duration,
+    ) -> Result<Bytes, BodyError> {
         meter.reset();
         let length = body.size_hint().exact().map_or(MAX_RESPONSE_BYTES, |l| l as usize);
         if length > MAX_RESPONSE_BYTES {
@@ -177,7 +201,10 @@
         let mut body = MeteredBody { body, meter };
         let mut held = HeldBody::new(self.budget.clone(), length);
         let mut parts = 0;
-        while let Some(frame) = body.frame().await {
+        loop {
+            let part = tokio::time::timeout(part_timeout, body.frame()).await;
+            let part = part.map_err(|_| BodyError::Silent(part_timeout))?;
+            let Some(frame) = part else { break };
             parts += 1;
             if parts > MAX_RESPONSE_PARTS {
                 return Err(BodyError::TooManyParts);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -19,7 +19,7 @@
 
 pub(crate) use byte_budget::UNCOUNTED_BYTES;
 pub use byte_budget::{ByteBudget, HeldBytes, HoldKind};
-pub use client::{HttpClient, HttpError};
+pub use client::{HttpClient, HttpError, ResponseTimeouts};
 pub use connection::ConnectionLimits;
 pub(crate) use headers::{connection_options, header_text, is_hop_by_hop};
 pub(crate) use metered::{MeteredBody, MeteredStream, READ_BUFFER_MAX, ReadMeter};
