Peers: large tables reach VMs on slow links

Cause: the table travels whole in the response of a sync, which had to be complete within 0.4 s. A timeout reset the session and with it the tokens' calls behind it, marked the upstream as unresponsive, and sent every VM to the store: of 75 VMs that ever had the first large version, 66 had it from the store, the last 4.4 s after the first. Change: contents over 4 KB are compressed, once for each revision, for peers that ask for it (older ones don't); a call is not timed out while a frame is arriving, at most 5 s.

--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -41,7 +41,7 @@
 use crate::clock;
 use crate::model::Place;
 use crate::net::LaterRequests;
-use crate::peer::Identity;
+use crate::peer::{CompressedContents, Identity};
 use crate::steer::StopSchedule;
 
 pub use config::{
@@ -72,6 +72,8 @@
     pub(crate) state: FrontState,
     pub(crate) target_client: TargetClient,
     pub(crate) sessions: Sessions,
+    /// The large contents of feeds, as they are passed on.
+    pub(crate) contents: CompressedContents,
     pub(crate) decision_log: DecisionLogger,
     pub(crate) metrics: FrontMetrics,
     /// When the process started, by [`crate::clock::now`].
--- a/src/front/news.rs
+++ b/src/front/news.rs
@@ -315,7 +315,7 @@
     let callers = front.config.listen.callers.to_string();
     let serving = front.is_serving();
     let observations = front.observations_to_leader(vm);
-    let request = SyncRequest { marks, callers, serving, vms_only, observations };
+    let request = SyncRequest { marks, callers, serving, vms_only, observations, deflate: true };
     let request = Body::SyncRequest(request);
     match front.sessions.call(vm, addr, request, timeout).await {
         Ok(Body::SyncResponse(response)) => Ok(response),
@@ -331,6 +331,7 @@
         let liveness: Vec<_> = response.live.iter().filter_map(|w| w.to_liveness()).collect();
         self.state.lock().fleet.merge_liveness(now, liveness);
         for feed in response.feeds {
+            self.contents.keep(&feed);
             if let Some((feed, age, delta)) = feed.into_delta() {
                 self.apply_delta(feed, delta, sent.saturating_sub(age), from);
             }
--- a/src/front/run.rs
+++ b/src/front/run.rs
@@ -14,7 +14,7 @@
 use crate::clock;
 use crate::net::{AheadBudget, ConnectionLimits, Respond, Server};
 use crate::node::unix_millis;
-use crate::peer::{Dialer, Identity, PeerServer, Secret};
+use crate::peer::{CompressedContents, Dialer, Identity, PeerServer, Secret};
 use crate::steer::StopSchedule;
 
 use super::config::FrontConfig;
@@ -93,6 +93,7 @@
             state: FrontState::new(&config, now),
             target_client: TargetClient::new(ahead.bytes.clone()),
             sessions: Sessions::new(dialer),
+            contents: CompressedContents::default(),
             decision_log: DecisionLogger::start(config.log.lines),
             metrics: FrontMetrics::new(&ahead),
             started: now,
--- a/src/front/sessions.rs
+++ b/src/front/sessions.rs
@@ -116,7 +116,11 @@
             Some(FeedUpdate::new(feed, age, replica.delta(mark)))
         });
         let store_unreachable = self.store_unreachable.load(Ordering::Relaxed);
-        let (feeds, leaving) = (feeds.collect(), self.is_leaving());
+        let (mut feeds, leaving): (Vec<_>, _) = (feeds.collect(), self.is_leaving());
+        drop(state);
+        if sync.deflate {
+            feeds.iter_mut().for_each(|update| self.contents.compress(update));
+        }
         SyncResponse { feeds, live, leaving, store_unreachable, observations }
     }
 
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -10,10 +10,13 @@
 use futures_util::stream::{SplitSink, SplitStream};
 use futures_util::{SinkExt, StreamExt};
 use prost::Message;
-use tokio::net::{TcpSocket, TcpStream};
+use tokio::net::TcpSocket;
+use tokio::sync::oneshot::error::RecvError;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
+use tokio::time::error::Elapsed;
 
+use super::arrival::{ArrivalMeter, CountedStream};
 use super::handshake::{Framing, dial};
 use super::{Body, Cancel, Envelope, Identity, PeerError, Secret, codec};
 use crate::model::VmId;
@@ -25,6 +28,8 @@
 const DIAL_INTERVAL: Duration = Duration::from_millis(200);
 /// Shortest time between the end of a session and the next try.
 const DIAL_PAUSE: Duration = Duration::from_millis(5);
+/// Longest time for which a call waits while frames go on arriving, unless its own timeout is longer.
+const TRANSFER_TIMEOUT: Duration = Duration::from_secs(5);
 /// Most frames that wait to be written.
 const QUEUE_FRAMES_MAX: usize = 4_096;
 
@@ -66,6 +71,8 @@
     /// Calls that wait for their response, by id.
     pending: Mutex<HashMap<u64, oneshot::Sender<Body>>>,
     late_responses: AtomicU64,
+    /// What the current session has received.
+    arrivals: Arc<ArrivalMeter>,
 }
 
 impl PeerClient {
@@ -116,7 +123,7 @@
         }
     }
 
-    /// Calls the peer and waits at most `timeout` for its response.
+    /// Calls the peer and waits at most `timeout` for its response, or longer while a frame is arriving.
     ///
     /// # Errors
     /// [`PeerError::maybe_sent`] says whether the peer may have received the call.
@@ -134,7 +141,7 @@
         }
         // The session ends when the last sender is dropped; a waiting call must not keep it open.
         drop(queue);
-        match tokio::time::timeout(timeout, receiver).await {
+        match self.await_response(receiver, timeout).await {
             Ok(Ok(body)) => {
                 pending.cancel = false;
                 Ok(body)
@@ -151,6 +158,24 @@
         }
     }
 
+    /// Waits for a response at most `timeout`. The time starts anew while a large frame is arriving, which
+    /// may be the response or in front of it.
+    async fn await_response(
+        &self,
+        mut receiver: oneshot::Receiver<Body>,
+        timeout: Duration,
+    ) -> Result<Result<Body, RecvError>, Elapsed> {
+        let end = Instant::now() + TRANSFER_TIMEOUT;
+        loop {
+            let received = self.shared.arrivals.received();
+            let outcome = tokio::time::timeout(timeout, &mut receiver).await;
+            let arriving = Instant::now() < end && self.shared.arrivals.is_arriving(received);
+            if outcome.is_ok() || !arriving {
+                return outcome;
+            }
+        }
+    }
+
     /// Calls the peer with a message that it may receive twice. Waits at most `timeout` for a session
     /// and as long for the response. If the session ends meanwhile, repeats the call in the next one:
     /// a lost connection does not mean that the peer has failed.
@@ -237,7 +262,7 @@
         }
     }
 
-    async fn connect(&self) -> anyhow::Result<(Framing<TcpStream>, Identity)> {
+    async fn connect(&self) -> anyhow::Result<(Framing<CountedStream>, Identity)> {
         let socket = match self.addr {
             SocketAddr::V4(_) => TcpSocket::new_v4()?,
             SocketAddr::V6(_) => TcpSocket::new_v6()?,
@@ -247,6 +272,7 @@
         }
         let stream = socket.connect(self.addr).await?;
         stream.set_nodelay(true)?;
+        let stream = CountedStream { stream, meter: self.shared.arrivals.clone() };
         let mut frames = Framing::new(stream, codec());
         let identity = dial(&mut frames, &self.dialer.me, &self.dialer.secret).await?;
         let any_vm = self.vm.as_str().is_empty();
@@ -260,8 +286,9 @@
     }
 
     /// Runs one session until it ends. Calls that are still pending then fail.
-    async fn run_session(&self, frames: Framing<TcpStream>, identity: Identity) {
+    async fn run_session(&self, frames: Framing<CountedStream>, identity: Identity) {
         let (sender, receiver) = mpsc::channel(QUEUE_FRAMES_MAX);
+        self.shared.arrivals.begin_session();
         *self.shared.queue.lock().expect("queue lock") = Some(sender);
         self.state.send_replace(SessionState::Up(identity));
         log::info!("peer: Session with {} at {} opened.", self.vm, self.addr);
@@ -277,7 +304,7 @@
 }
 
 async fn write_frames(
-    mut sink: SplitSink<Framing<TcpStream>, Bytes>,
+    mut sink: SplitSink<Framing<CountedStream>, Bytes>,
     mut queue: mpsc::Receiver<Envelope>,
 ) {
     while let Some(envelope) = queue.recv().await {
@@ -287,8 +314,9 @@
     }
 }
 
-async fn read_frames(mut stream: SplitStream<Framing<TcpStream>>, shared: &Shared) {
+async fn read_frames(mut stream: SplitStream<Framing<CountedStream>>, shared: &Shared) {
     while let Some(Ok(frame)) = stream.next().await {
+        shared.arrivals.record_frame(frame.len());
         let Ok(envelope) = Envelope::decode(frame) else { return };
         let waiter = shared.pending.lock().expect("pending lock").remove(&envelope.id);
         match (waiter, envelope.body) {
--- /dev/null
+++ b/src/peer/compression.rs
@@ -0,0 +1,94 @@
+//! Compression of large contents of feeds, such as the routing table, between entry VMs.
+//!
+//! A content is compressed once for each revision, however many VMs ask for it, and a VM passes on what it
+//! has received.
+
+use std::collections::HashMap;
+use std::io::{Read, Write};
+use std::sync::Mutex;
+
+use bytes::Bytes;
+use flate2::Compression;
+use flate2::read::DeflateDecoder;
+use flate2::write::DeflateEncoder;
+
+use super::FRAME_BYTES_MAX;
+use super::steering::{FeedUpdate, WireItem};
+
+/// Shortest content that is compressed, in bytes.
+const CONTENT_BYTES_MIN: usize = 4 << 10;
+/// Most compressed contents that are kept.
+const KEPT_MAX: usize = 16;
+
+/// The feed and the name of an item.
+type ItemKey = (u32, String);
+
+/// A compressed content.
+#[derive(Debug)]
+struct Compressed {
+    revision: u64,
+    bytes: Bytes,
+}
+
+/// The last compressed contents, by item.
+#[derive(Debug, Default)]
+pub struct CompressedContents(Mutex<HashMap<ItemKey, Compressed>>);
+
+impl CompressedContents {
+    /// Compresses the large contents of `update`. Its receiver must have asked for that.
+    pub fn compress(&self, update: &mut FeedUpdate) {
+        for item in &mut update.items {
+            if item.body.as_ref().is_some_and(|body| body.len() >= CONTENT_BYTES_MIN) {
+                item.deflated =
+                    item.body.take().map(|body| self.compressed(update.feed, item, &body));
+            }
+        }
+    }
+
+    /// Keeps the compressed contents of a received update.
+    pub fn keep(&self, update: &FeedUpdate) {
+        for item in &update.items {
+            if let Some(bytes) = &item.deflated {
+                self.insert(update.feed, item, bytes.clone());
+            }
+        }
+    }
+
+    fn compressed(&self, feed: u32, item: &WireItem, body: &[u8]) -> Bytes {
+        let key = (feed, item.name.clone());
+        let kept =
+            self.0.lock().expect("contents lock").get(&key).map(|c| (c.revision, c.bytes.clone()));
+        match kept {
+            Some((revision, bytes)) if revision == item.revision => bytes,
+            _ => {
+                let bytes = compress(body);
+                self.insert(feed, item, bytes.clone());
+                bytes
+            }
+        }
+    }
+
+    fn insert(&self, feed: u32, item: &WireItem, bytes: Bytes) {
+        let mut contents = self.0.lock().expect("contents lock");
+        if contents.len() >= KEPT_MAX {
+            contents.clear();
+        }
+        let compressed = Compressed { revision: item.revision, bytes };
+        contents.insert((feed, item.name.clone()), compressed);
+    }
+}
+
+fn compress(content: &[u8]) -> Bytes {
+    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
+    // Writing to a vector can't fail.
+    let _ = encoder.write_all(content);
+    encoder.finish().unwrap_or_default().into()
+}
+
+/// The content that was compressed; none if `bytes` are invalid or stand for more than a frame may hold.
+pub(super) fn decompress(bytes: &[u8]) -> Option<Bytes> {
+    let mut content = Vec::new();
+    let limit = FRAME_BYTES_MAX as u64 + 1;
+    DeflateDecoder::new(bytes).take(limit).read_to_end(&mut content).ok()?;
+    (content.len() <= FRAME_BYTES_MAX).then(|| content.into())
+}
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -4,7 +4,9 @@
 //! In a session only the dialling end makes calls. Both ends prove in the handshake that they know
 //! a shared secret. Frames are not encrypted.
 
+mod arrival;
 mod client;
+mod compression;
 mod error;
 mod handshake;
 mod message;
@@ -12,6 +14,7 @@
 mod steering;
 
 pub use client::{Dialer, PeerClient};
+pub use compression::CompressedContents;
 pub use error::PeerError;
 pub use handshake::{Identity, Secret};
 pub use message::{
--- a/src/peer/steering.rs
+++ b/src/peer/steering.rs
@@ -5,6 +5,7 @@
 use prost::Message;
 use std::time::Duration;
 
+use super::compression::decompress;
 use crate::model::{CustomerId, TargetId, VmId, ZoneId};
 use crate::steer::{
     CLASSES, Delta, Feed, Item, Liveness, Observation, RankClass, TokenGrant, TokenRequest,
@@ -29,6 +30,9 @@
     /// What the sender has seen of targets, for the VMs of its zone.
     #[prost(message, repeated, tag = "5")]
     pub observations: Vec<WireObservation>,
+    /// True if the sender reads compressed contents.
+    #[prost(bool, tag = "6")]
+    pub deflate: bool,
 }
 
 /// The updates of all feeds.
@@ -106,9 +110,23 @@
     /// The store's revision of the object's last change.
     #[prost(uint64, tag = "2")]
     pub revision: u64,
-    /// Its content; absent if the object was deleted.
+    /// Its content; absent if the object was deleted or `deflated` is set.
     #[prost(bytes = "bytes", optional, tag = "3")]
     pub body: Option<Bytes>,
+    /// Its content, compressed with DEFLATE.
+    #[prost(bytes = "bytes", optional, tag = "4")]
+    pub deflated: Option<Bytes>,
+}
+
+impl WireItem {
+    /// The converted message; none if its content can't be decompressed.
+    fn into_item(self) -> Option<Item> {
+        let body = match &self.deflated {
+            Some(bytes) => Some(decompress(bytes)?),
+            None => self.body,
+        };
+        Some(Item { name: self.name, revision: self.revision, body })
+    }
 }
 
 /// What was last received about an entry VM, directly or from other VMs.
@@ -256,7 +274,8 @@
 impl FeedUpdate {
     /// The update of `feed` with the changes `delta`. `age` is the age of the sender's copy.
     pub fn new(feed: Feed, age: Duration, delta: Delta) -> Self {
-        let to_wire = |i: Item| WireItem { name: i.name, revision: i.revision, body: i.body };
+        let to_wire =
+            |i: Item| WireItem { name: i.name, revision: i.revision, body: i.body, deflated: None };
         Self {
             feed: feed.number(),
             age_ms: age.as_millis() as u64,
@@ -266,10 +285,10 @@
         }
     }
 
-    /// The feed, the age of the sender's copy and the changes; none if the feed's number is unknown.
+    /// The feed, the age of the sender's copy and the changes; none if the feed's number is unknown or a
+    /// content can't be decompressed.
     pub fn into_delta(self) -> Option<(Feed, Duration, Delta)> {
-        let item = |i: WireItem| Item { name: i.name, revision: i.revision, body: i.body };
-        let items = self.items.into_iter().map(item).collect();
+        let items = self.items.into_iter().map(WireItem::into_item).collect::<Option<_>>()?;
         let delta = Delta { full: self.full, mark: self.mark, items };
         Some((Feed::from_number(self.feed)?, Duration::from_millis(self.age_ms), delta))
     }
