Front: metrics of the routing table's age at each decision, and of final rejections

Whether a final no (401, 404, 413) came from an old routing table could be told only from log lines, which are limited to 20 a second. Change: `decision_table_age_seconds`, a histogram that is observed once a request when it is decided by a routing table, and `final_rejections` by reason and `old`, which is true if the table was older than a configuration may take to be in force (`apply_limit`; `bounds.revoke` for now).

--- a/src/front/ingress.rs
+++ b/src/front/ingress.rs
@@ -152,6 +152,10 @@
     let index = wait_for_index(front).await;
     let index = index
         .ok_or_else(|| RequestError::not_run("no-table", "no routing table has been received"))?;
+    front
+        .metrics
+        .decisions
+        .record_table_age(front.state.table_age(clock::now()).unwrap_or_default());
     let host = header_text(&head.headers, HOST).or_else(|| head.uri.host());
     let host = host.ok_or_else(|| {
         RequestError::new(StatusCode::BAD_REQUEST, "no-host", "the Host header is missing")
@@ -362,6 +366,7 @@
         let outcome = RequestLabels { status: status.as_u16(), reason: reason.to_owned() };
         self.metrics.record_request(outcome, log, took);
         let age = self.state.table_age(now).unwrap_or_default();
+        self.count_rejection(reason, age);
         let record = RequestRecord {
             id: &log.id,
             route: &log.route,
--- a/src/front/metrics.rs
+++ b/src/front/metrics.rs
@@ -22,6 +22,7 @@
 use crate::steer::{Pick, RankClass, TargetNotice};
 
 use super::Front;
+use super::decision_metrics::DecisionMetrics;
 use super::in_flight::RequestStep;
 use super::request::RequestLog;
 
@@ -135,6 +136,7 @@
     knowledge_age: Histogram,
     choices: Family<ChoiceLabels, Counter>,
     idle_slots: Counter<f64, AtomicU64>,
+    pub(crate) decisions: DecisionMetrics,
 }
 
 impl FrontMetrics {
@@ -169,6 +171,7 @@
             knowledge_age: Histogram::new(AGE_BUCKETS),
             choices: Family::default(),
             idle_slots: Counter::default(),
+            decisions: DecisionMetrics::new(&mut registry),
         };
         registry.register("requests", "Requests by how they ended", metrics.requests.clone());
         let counters = metrics.routes.counters.clone();
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -11,6 +11,7 @@
 mod body_buffer;
 mod config;
 mod crash_check;
+mod decision_metrics;
 mod decisions;
 mod exchange;
 mod handle;
