--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -208,14 +208,20 @@
         self.link = Some(standin(&args));
         for (name, l) in names.iter().zip(&linked) {
             let extra = format!("advertise = \"{}\"\n", l.relay);
-            let path = self.settings(name, &l.own.to_string(), &extra);
-            let text = std::fs::read_to_string(&path).expect("read settings");
-            std::fs::write(&path, format!("bind = \"{}\"\n{text}", l.ip)).expect("write");
-            self.start_from(name, &path);
+            self.start_bound_vm(name, &l.ip, &l.own.to_string(), &extra);
         }
         self.await_mesh().await;
     }
 
+    /// Starts one entry VM that connects from the address `ip` and listens for sessions at `peers`;
+    /// `extra` is added to its settings.
+    pub fn start_bound_vm(&mut self, name: &str, ip: &str, peers: &str, extra: &str) {
+        let path = self.settings(name, peers, extra);
+        let text = std::fs::read_to_string(&path).expect("read settings");
+        std::fs::write(&path, format!("bind = \"{ip}\"\n{text}")).expect("write settings");
+        self.start_from(name, &path);
+    }
+
     /// Cuts the links between pairs of address prefixes, and restores all others.
     pub async fn cut_links(&self, pairs: &[(&str, &str)]) {
         let cuts: Vec<Value> = pairs.iter().map(|(a, b)| json!({"a": a, "b": b})).collect();
