Daemon: refuse for good only by a recent configuration

Cause: 401, 403, 404 and 400 (no-once-key) followed from the VM's copy of the configuration, whatever its age. Nor was its age right: - a watch counted from when its response was read, which may have waited while the process was suspended; - reads of a lagging replica counted as complete; - a VM that had never had a complete copy told its peers the time since its start as the age, and they took it over; - ages were rounded down when passed on, so that VMs that are cut off together made each other younger; - it did not count the machine's suspensions (CLOCK_MONOTONIC). Look-ups did not ask whether there is a configuration at all.

Change: model/recency.rs decides by the moment at which the copy was last known to be complete, the present time and callers.final_age_ms (4 s; 2 to 60 s). Otherwise the caller gets 503 config-old with Retry-After: 1, also from look-ups; a name that an operator's change needs gets 503, too. A request with an idempotency key gets run: unknown then. The moment is read before the view. not-ready has a Retry-After, too. Logged when it begins and ends; metric lookups by outcome; requests are counted by reason as before. Watches last 0.5 s in place of 1 s, so that the age of a VM in touch stays as it was: twice as many watches, by the same VMs; no call depends on a request. Requests that are allowed run as before.

--- a/src/config.rs
+++ b/src/config.rs
@@ -65,12 +65,20 @@
     /// TTL of look-ups: how long callers may cache one, in milliseconds.
     #[serde(default = "default_ttl_ms")]
     pub ttl_ms: u64,
+    /// Age of this VM's configuration from which on no request is refused for good by it, in
+    /// milliseconds.
+    #[serde(default = "default_final_age_ms")]
+    pub final_age_ms: u64,
 }
 
 fn default_ttl_ms() -> u64 {
     5_000
 }
 
+fn default_final_age_ms() -> u64 {
+    4_000
+}
+
 /// The port for operators.
 #[apply(record!)]
 pub struct OperatorConfig {
@@ -192,6 +200,11 @@
         Duration::from_millis(self.callers.ttl_ms)
     }
 
+    /// Returns the age of the configuration from which on no request is refused for good by it.
+    pub fn final_age(&self) -> Duration {
+        Duration::from_millis(self.callers.final_age_ms)
+    }
+
     /// Reads the secret that is shared with the peers.
     ///
     /// # Errors
@@ -221,6 +234,11 @@
             "callers.ttl_ms: {} is not from 100 to 600000",
             self.callers.ttl_ms
         );
+        ensure!(
+            (2_000..=60_000).contains(&self.callers.final_age_ms),
+            "callers.final_age_ms: {} is not from 2000 to 60000",
+            self.callers.final_age_ms
+        );
         let level = self.log.level.parse::<log::LevelFilter>();
         ensure!(
             level.is_ok(),
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -1,11 +1,12 @@
 //! The data that is stored and distributed: identifiers, service documents, customers' keys, the
-//! platform's VM list, drains and versioned objects.
+//! platform's VM list, drains and versioned objects; and whether a copy of them is recent enough.
 
 mod document;
 mod drain;
 mod ids;
 mod key;
 mod object;
+mod recency;
 mod vms;
 
 pub use document::{
@@ -18,4 +19,5 @@
 };
 pub use key::{KeyDigest, KeyEntry, KeySet, KeyState, new_key};
 pub use object::{Object, ObjectId, ObjectKind, Operation};
+pub use recency::{NotRecent, check_recent};
 pub use vms::{ListedVm, Target, VmList, VmState};
--- a/src/node/changes.rs
+++ b/src/node/changes.rs
@@ -9,12 +9,14 @@
 use http::StatusCode;
 use macro_rules_attribute::apply;
 
+use crate::clock;
 use crate::common::record;
 use crate::model::{
-    CustomerId, DrainSubject, Drains, KeyDigest, KeyEntry, KeySet, KeyState, Object, ObjectId,
-    ObjectKind, ServiceId, new_key, parse_document,
+    CustomerId, DrainSubject, Drains, KeyDigest, KeyEntry, KeySet, KeyState, NotRecent, Object,
+    ObjectId, ObjectKind, ServiceId, new_key, parse_document,
 };
 use crate::plan::ShiftPlan;
+use crate::spread::ConfigView;
 use crate::store::{
     ObjectEdit, Precondition, StoreError, StoreErrorKind, UpdateResult, update_object,
 };
@@ -37,6 +39,9 @@
     NotFound(String),
     #[error("{0}")]
     Conflict(String),
+    /// A name is not in the configuration, which may be out of date.
+    #[error("{cause}; by it, {refusal}")]
+    ConfigOld { cause: NotRecent, refusal: Box<OperatorError> },
     #[error(transparent)]
     Store(#[from] StoreError),
 }
@@ -47,7 +52,9 @@
             OperatorError::Invalid(_) => StatusCode::BAD_REQUEST,
             OperatorError::NotFound(_) => StatusCode::NOT_FOUND,
             OperatorError::Conflict(_) => StatusCode::CONFLICT,
-            OperatorError::Store(_) => StatusCode::SERVICE_UNAVAILABLE,
+            OperatorError::ConfigOld { .. } | OperatorError::Store(_) => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
         }
     }
 }
@@ -196,19 +203,7 @@
     name: &str,
     request: &ShiftRequest,
 ) -> Result<ChangeReport, OperatorError> {
-    if !node.view().services.contains_key(&ServiceId::new(name)) {
-        return Err(OperatorError::NotFound(format!("service {name} does not exist")));
-    }
-    let regions: BTreeSet<String> =
-        node.view().roster.members.iter().map(|m| m.place.region.to_string()).collect();
-    for region in [&request.from, &request.to] {
-        if !regions.contains(region) {
-            let names: Vec<&str> = regions.iter().map(String::as_str).collect();
-            let names = names.join(", ");
-            let detail = format!("region {region} does not exist; the regions are {names}");
-            return Err(OperatorError::Invalid(detail));
-        }
-    }
+    check_names(node, |view| check_shift(view, name, request))?;
     let id = ObjectId::new(ObjectKind::Plan, name);
     update(node, &id, |object| {
         let mut plan: ShiftPlan = from_json(object)?;
@@ -223,12 +218,32 @@
     .await
 }
 
+/// Refuses a shift of a service or between regions that are not known.
+fn check_shift(view: &ConfigView, name: &str, request: &ShiftRequest) -> Result<(), OperatorError> {
+    if !view.services.contains_key(&ServiceId::new(name)) {
+        return Err(OperatorError::NotFound(format!("service {name} does not exist")));
+    }
+    let regions: BTreeSet<&str> =
+        view.roster.members.iter().map(|m| m.place.region.as_str()).collect();
+    for region in [&request.from, &request.to] {
+        if !regions.contains(region.as_str()) {
+            let names: Vec<&str> = regions.into_iter().collect();
+            let names = names.join(", ");
+            let detail = format!("region {region} does not exist; the regions are {names}");
+            return Err(OperatorError::Invalid(detail));
+        }
+    }
+    Ok(())
+}
+
 pub(super) async fn issue_key(node: &Node, customer: &str) -> Result<ChangeReport, OperatorError> {
     let id = CustomerId::new(customer);
-    let exists = node.view().services.values().any(|s| s.document.customer(&id).is_some());
-    if !exists {
-        return Err(OperatorError::NotFound(format!("customer {customer} is in no document")));
-    }
+    check_names(node, |view| {
+        match view.services.values().any(|s| s.document.customer(&id).is_some()) {
+            true => Ok(()),
+            false => Err(OperatorError::NotFound(format!("customer {customer} is in no document"))),
+        }
+    })?;
     let key = new_key();
     let entry = KeyEntry { digest: KeyDigest::of(&key), state: KeyState::Active };
     let id = ObjectId::new(ObjectKind::Keys, customer);
@@ -283,7 +298,7 @@
     subject: &DrainSubject,
     add: bool,
 ) -> Result<ChangeReport, OperatorError> {
-    check_subject(node, subject, add)?;
+    check_names(node, |view| check_subject(view, subject, add))?;
     let id = ObjectId::new(ObjectKind::Drains, "fleet");
     update(node, &id, |object| {
         let mut drains: Drains = from_json(object)?;
@@ -299,10 +314,28 @@
     .await
 }
 
+/// Checks names by the configuration in force. One that is not in it may have been added elsewhere, so
+/// the refusal is for good only if the configuration is recent.
+fn check_names(
+    node: &Node,
+    check: impl FnOnce(&ConfigView) -> Result<(), OperatorError>,
+) -> Result<(), OperatorError> {
+    let known = node.known_view();
+    check(&known.view).map_err(|refusal| {
+        match node.freshness.check(known.complete_at, clock::now()) {
+            Ok(()) => refusal,
+            Err(cause) => OperatorError::ConfigOld { cause, refusal: Box::new(refusal) },
+        }
+    })
+}
+
 /// Refuses to drain a name that is not known: a mistyped one would drain nothing. A drain of a
 /// name no longer known can still be ended.
-fn check_subject(node: &Node, subject: &DrainSubject, add: bool) -> Result<(), OperatorError> {
-    let view = node.view();
+fn check_subject(
+    view: &ConfigView,
+    subject: &DrainSubject,
+    add: bool,
+) -> Result<(), OperatorError> {
     let exists = match subject {
         DrainSubject::Target(id) => view.vms.targets.iter().any(|t| &t.id == id),
         DrainSubject::Vm(id) => view.roster.member(id).is_some(),
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -12,12 +12,15 @@
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response};
 
+use crate::clock;
 use crate::model::{Account, CustomerId, CutOff, Document, RegionId, Route, ServiceId};
 use crate::net::{Respond, header_text};
 use crate::plan::ShiftPlan;
 use crate::route::RetryBudget;
+use crate::spread::ConfigView;
 use crate::targets::CrashTracker;
 
+use super::freshness::RETRY_AFTER;
 use super::records::RecordBuilder;
 use super::refusal::{Reason, Refusal};
 use super::trace::{SpanContext, SpanEnd};
@@ -139,7 +142,7 @@
     let active = ActiveGuard::new(node);
     let parent = header_text(request.headers(), "traceparent").and_then(SpanContext::parse);
     let span = parent.as_ref().map_or_else(SpanContext::root, SpanContext::child);
-    let outcome = match admit(node, request, &mut builder, span.clone()) {
+    let outcome = match admit_known(node, request, &mut builder, span.clone()) {
         Ok(admitted) if admitted.once.is_some() => {
             // A request with an idempotency key runs to its end even if its caller disconnects, so
             // that its claim is settled.
@@ -174,7 +177,7 @@
     parent: Option<SpanContext>,
 ) -> Response<Bytes> {
     let (mut response, text) = match outcome {
-        Ok(response) => (response, "answered".to_owned()),
+        Ok(response) => (response, super::metrics::ANSWERED.to_owned()),
         Err(refusal) => {
             builder.add_step("refuse", refusal.detail.clone());
             (refusal.response(), refusal.reason.as_str())
@@ -199,24 +202,44 @@
     response
 }
 
+/// Checks a request by the configuration in force, and refuses none for good if that may be out of date.
+fn admit_known(
+    node: &Node,
+    request: &Request<Bytes>,
+    builder: &mut RecordBuilder,
+    span: SpanContext,
+) -> Result<Admitted, Refusal> {
+    let known = node.known_view();
+    admit(node, &known.view, request, builder, span).map_err(|refusal| {
+        let settled = node.freshness.settle(known.complete_at, clock::now(), refusal);
+        match settled.reason == Reason::ConfigOld
+            && request.headers().contains_key(IDEMPOTENCY_HEADER)
+        {
+            true => settled.with_unknown_run(),
+            false => settled,
+        }
+    })
+}
+
 /// Checks key, service, route, customer and headers.
 fn admit(
     node: &Node,
+    view: &ConfigView,
     request: &Request<Bytes>,
     builder: &mut RecordBuilder,
     span: SpanContext,
 ) -> Result<Admitted, Refusal> {
     if !node.lifecycle.is_configured() {
-        return Err(Refusal::not_run(Reason::NotReady, "this VM has no configuration yet"));
+        let refusal = Refusal::not_run(Reason::NotReady, "this VM has no configuration yet");
+        return Err(refusal.with_retry_after(RETRY_AFTER));
     }
-    let view = node.view();
     let (headers, uri) = (request.headers(), request.uri());
     let key = sanitize::api_key(headers)?;
     sanitize::reject_leaked_key(uri, request.body(), &key)?;
     let unknown_key = || Refusal::not_run(Reason::BadKey, "the key is unknown or withdrawn");
     let customer = view.customer(&key).ok_or_else(unknown_key)?.clone();
     builder.record.customer = customer.to_string();
-    let (name, path) = split_path(uri)?;
+    let (name, path) = sanitize::split_path(uri)?;
     let no_service =
         || Refusal::not_run(Reason::NoService, format!("service {name} does not exist"));
     let service = view.services.get(&name).ok_or_else(no_service)?;
@@ -321,7 +344,7 @@
 }
 
 fn check_freshness(node: &Node, document: &Document) -> Result<(), Refusal> {
-    let age = node.freshness.age(Instant::now());
+    let age = node.freshness.age(clock::now());
     let stale = age > Duration::from_millis(document.keys.stale_ms);
     if document.keys.cut_off == CutOff::Refuse && stale {
         let detail = format!("the list of withdrawn keys is {} ms old", age.as_millis());
@@ -371,22 +394,3 @@
     let bad = || Refusal::not_run(Reason::BadRequest, "x-shallot-deadline-ms is not a number");
     Ok(parsed.ok_or_else(bad)?.min(limit))
 }
-
-/// Splits `/service/rest` into the service and `/rest` with its query. Refuses a path that a target
-/// could normalize to another path, since the route checked here would then not be the one served.
-fn split_path(uri: &http::Uri) -> Result<(ServiceId, String), Refusal> {
-    let bad = |detail: &str| Refusal::not_run(Reason::BadRequest, detail);
-    let path = uri.path();
-    let decoded = percent_encoding::percent_decode_str(path).decode_utf8_lossy().into_owned();
-    let unsafe_segment = |s: &str| s == "." || s == ".." || s.contains('\\') || s.contains('\0');
-    if decoded.split('/').any(unsafe_segment) || path.to_ascii_lowercase().contains("%2f") {
-        return Err(bad("the path has dot segments, backslashes or encoded slashes"));
-    }
-    if path.contains("//") {
-        return Err(bad("the path has empty segments"));
-    }
-    let rest = path.strip_prefix('/').ok_or_else(|| bad("the path must start with '/'"))?;
-    let (service, rest) = rest.split_once('/').unwrap_or((rest, ""));
-    let query = uri.query().map(|q| format!("?{q}")).unwrap_or_default();
-    Ok((ServiceId::new(service), format!("/{rest}{query}")))
-}
--- a/src/node/lookup.rs
+++ b/src/node/lookup.rs
@@ -7,12 +7,14 @@
 use http::{Request, Response, StatusCode};
 use macro_rules_attribute::apply;
 
+use crate::clock;
 use crate::common::record;
 use crate::lookup::{LookupVm, nearest_vms};
 use crate::model::{Place, ServiceId, VmId, VmState};
 use crate::net::json_response;
 use crate::spread::ConfigView;
 
+use super::metrics::{ANSWERED, LookupLabels};
 use super::refusal::{Reason, Refusal};
 use super::{Node, sanitize};
 
@@ -37,14 +39,23 @@
 
 /// Answers a look-up with JSON, or refuses it.
 pub(crate) fn respond(node: &Node, request: &Request<Bytes>) -> Response<Bytes> {
-    match look_up(node, request) {
-        Ok(answer) => json_response(StatusCode::OK, &answer),
-        Err(refusal) => refusal.response(),
-    }
+    let known = node.known_view();
+    let (outcome, response) = match look_up(node, &known.view, request) {
+        Ok(answer) => (ANSWERED.to_owned(), json_response(StatusCode::OK, &answer)),
+        Err(refusal) => {
+            let refusal = node.freshness.settle(known.complete_at, clock::now(), refusal);
+            (refusal.reason.as_str(), refusal.response())
+        }
+    };
+    node.metrics.lookups.get_or_create(&LookupLabels { outcome }).inc();
+    response
 }
 
-fn look_up(node: &Node, request: &Request<Bytes>) -> Result<LookupAnswer, Refusal> {
-    let view = node.view();
+fn look_up(
+    node: &Node,
+    view: &ConfigView,
+    request: &Request<Bytes>,
+) -> Result<LookupAnswer, Refusal> {
     let key = sanitize::api_key(request.headers())?;
     let unknown_key = || Refusal::not_run(Reason::BadKey, "the key is unknown or withdrawn");
     let customer = view.customer(&key).ok_or_else(unknown_key)?;
@@ -61,7 +72,7 @@
             format!("service {service} does not exist"),
         ));
     }
-    let entries = entry_vms(node, &view, Instant::now());
+    let entries = entry_vms(node, view, Instant::now());
     let ranking_key = format!("{service}/{customer}");
     let entries = nearest_vms(&entries, &node.me.place, &ranking_key)
         .into_iter()
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -10,12 +10,22 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+/// The outcome of what was not refused.
+pub(crate) const ANSWERED: &str = "answered";
+
 /// Labels of a finished request.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct RequestLabels {
     pub(crate) service: String,
     pub(crate) customer: String,
-    /// `answered`, or the reason of a refusal.
+    /// [`ANSWERED`], or the reason of a refusal.
+    pub(crate) outcome: String,
+}
+
+/// Labels of a look-up.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct LookupLabels {
+    /// [`ANSWERED`], or the reason of a refusal.
     pub(crate) outcome: String,
 }
 
@@ -36,6 +46,7 @@
 pub(crate) struct Metrics {
     registry: Mutex<Registry>,
     pub(crate) requests: Family<RequestLabels, Counter>,
+    pub(crate) lookups: Family<LookupLabels, Counter>,
     pub(crate) latency: Family<ServiceLabels, Histogram>,
     pub(crate) retries: Family<ServiceLabels, Counter>,
     pub(crate) notices: Family<NoticeLabels, Counter>,
@@ -57,6 +68,7 @@
         let histogram = || Histogram::new(exponential_buckets(0.0005, 2.0, 16));
         let metrics = Self {
             requests: Family::default(),
+            lookups: Family::default(),
             latency: Family::new_with_constructor(histogram as fn() -> Histogram),
             retries: Family::default(),
             notices: Family::default(),
@@ -72,6 +84,7 @@
             registry: Mutex::new(Registry::default()),
         };
         registry.register("requests", "Requests by outcome", metrics.requests.clone());
+        registry.register("lookups", "Look-ups by outcome", metrics.lookups.clone());
         registry.register("latency_seconds", "Time to answer", metrics.latency.clone());
         registry.register("retries", "Requests sent again", metrics.retries.clone());
         registry.register(
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -7,6 +7,7 @@
 mod egress;
 mod escrow;
 mod forwarded;
+mod freshness;
 mod handover;
 mod ingress;
 mod lifecycle;
@@ -32,12 +33,13 @@
 mod watcher;
 
 use std::sync::{Arc, Mutex};
-use std::time::{Instant, SystemTime};
+use std::time::{Duration, Instant, SystemTime};
 
 use arc_swap::ArcSwap;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use crate::clock;
 use crate::config::Config;
 use crate::model::{Object, ObjectKind};
 use crate::net::{HttpClient, ResponseBudget};
@@ -56,6 +58,13 @@
 /// Bytes of all responses of targets and peers that a daemon holds at once.
 const RESPONSE_BYTES_MAX: usize = 64 << 20;
 
+/// The configuration in force, and when it was last known to be complete.
+pub(crate) struct KnownView {
+    pub(crate) view: Arc<ConfigView>,
+    /// Time since the machine's start; none if it never was complete.
+    pub(crate) complete_at: Option<Duration>,
+}
+
 /// The state that all tasks of a daemon share.
 pub(crate) struct Node {
     pub(crate) config: Config,
@@ -81,7 +90,7 @@
     pub(crate) tracer: trace::Tracer,
     pub(crate) metrics: metrics::Metrics,
     pub(crate) lifecycle: lifecycle::Lifecycle,
-    pub(crate) freshness: watcher::Freshness,
+    pub(crate) freshness: freshness::Freshness,
 }
 
 impl Node {
@@ -116,7 +125,7 @@
             tracer,
             metrics: metrics::Metrics::new(),
             lifecycle: lifecycle::Lifecycle::default(),
-            freshness: watcher::Freshness::new(now),
+            freshness: freshness::Freshness::new(clock::now(), config.final_age()),
             catalog: Mutex::default(),
             view: ArcSwap::default(),
             config,
@@ -132,6 +141,13 @@
         self.view.load_full()
     }
 
+    /// The configuration in force, and when it was last known to be complete.
+    pub(crate) fn known_view(&self) -> KnownView {
+        // In this order: a view that is read later has at least what was complete then.
+        let complete_at = self.freshness.complete_at();
+        KnownView { complete_at, view: self.view() }
+    }
+
     pub(crate) fn with_catalog<T>(&self, read: impl FnOnce(&Catalog) -> T) -> T {
         read(&self.catalog.lock().expect("catalog lock"))
     }
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -7,6 +7,7 @@
 
 use async_trait::async_trait;
 
+use crate::clock;
 use crate::model::{Object, ObjectId, ObjectKind};
 use crate::peer::{
     Body, Empty, ExplainResponse, Heartbeat, Identity, Objects, PeerHandler, TargetCrash,
@@ -114,7 +115,7 @@
     if peer.client.refusals() >= REFUSALS_UNTIL_DEAD {
         escrow::member_died(node, &peer.info.vm, peer.info.incarnation);
     }
-    let sent = Instant::now();
+    let sent = clock::now();
     let body = Body::Heartbeat(heartbeat);
     let Ok(Body::Heartbeat(heartbeat)) = peer.client.call(body, HEARTBEAT_TIMEOUT).await else {
         peer.on_missed_heartbeat();
@@ -126,8 +127,8 @@
     if identical || pull_objects(node, peer).await {
         // This VM now has every object that the peer has, so the age that the peer reported is
         // this VM's, too.
-        let age = Duration::from_millis(heartbeat.age_ms);
-        if let Some(at) = sent.checked_sub(age) {
+        let complete_at = heartbeat.age().and_then(|age| sent.checked_sub(age));
+        if let Some(at) = complete_at {
             node.freshness.confirm(at);
         }
     }
@@ -171,9 +172,11 @@
 }
 
 fn own_heartbeat(node: &Node, now: Instant) -> Heartbeat {
+    // Before the digest: the catalog has at least what was complete then.
+    let age = node.freshness.complete_at().map(|at| clock::now().saturating_sub(at));
     Heartbeat {
         digest: node.with_catalog(|c| c.digest()),
-        age_ms: node.freshness.age(now).as_millis() as u64,
+        age_ms: Heartbeat::age_ms_of(age),
         leaving: !node.lifecycle.names_vm(),
         loads: node.egress.loads(now),
         homes: node.escrow.with(|e| e.homes()),
--- a/src/node/refusal.rs
+++ b/src/node/refusal.rs
@@ -38,6 +38,8 @@
     /// This VM has not been able to read withdrawn keys for too long, and the service's policy is
     /// to refuse requests then.
     CutOff,
+    /// The request would be refused for good, but by a configuration that may be out of date.
+    ConfigOld,
     /// No such service.
     NoService,
     /// No such route.
@@ -88,6 +90,7 @@
             Reason::TimedOut => StatusCode::GATEWAY_TIMEOUT,
             Reason::TargetFailed => StatusCode::BAD_GATEWAY,
             Reason::CutOff
+            | Reason::ConfigOld
             | Reason::Quarantined
             | Reason::OnceUnavailable
             | Reason::Busy
@@ -98,6 +101,19 @@
         }
     }
 
+    /// True if the refusal is for good and follows from the configuration, so that a newer one could
+    /// allow the request.
+    pub(crate) fn rests_on_configuration(self) -> bool {
+        matches!(
+            self,
+            Reason::BadKey
+                | Reason::NoService
+                | Reason::NoRoute
+                | Reason::NotAllowed
+                | Reason::NoOnceKey
+        )
+    }
+
     /// The reason as it stands in refusals and metrics.
     pub(crate) fn as_str(self) -> String {
         let value = serde_json::to_value(self).unwrap_or_default();
--- a/src/node/sanitize.rs
+++ b/src/node/sanitize.rs
@@ -1,11 +1,12 @@
-//! Reads the key of a request, and filters headers in both directions: those that a target gets
-//! and those of its response that the caller gets. A key never reaches a target.
+//! Reads the key and the service of a request, and filters headers in both directions: those that a
+//! target gets and those of its response that the caller gets. A key never reaches a target.
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Uri};
 use memchr::memmem;
-use percent_encoding::percent_decode;
+use percent_encoding::{percent_decode, percent_decode_str};
 
+use crate::model::ServiceId;
 use crate::net::{connection_options, is_hop_by_hop};
 use crate::peer::HeaderField;
 
@@ -64,6 +65,27 @@
     }
 }
 
+/// Splits `/service/rest` into the service and `/rest` with its query. Refuses a path that a target
+/// could normalize to another path, since the route checked here would then not be the one served.
+///
+/// # Errors
+/// Refuses such a path.
+pub(crate) fn split_path(uri: &Uri) -> Result<(ServiceId, String), Refusal> {
+    let path = uri.path();
+    let decoded = percent_decode_str(path).decode_utf8_lossy().into_owned();
+    let unsafe_segment = |s: &str| s == "." || s == ".." || s.contains('\\') || s.contains('\0');
+    if decoded.split('/').any(unsafe_segment) || path.to_ascii_lowercase().contains("%2f") {
+        return Err(bad("the path has dot segments, backslashes or encoded slashes"));
+    }
+    if path.contains("//") {
+        return Err(bad("the path has empty segments"));
+    }
+    let rest = path.strip_prefix('/').ok_or_else(|| bad("the path must start with '/'"))?;
+    let (service, rest) = rest.split_once('/').unwrap_or((rest, ""));
+    let query = uri.query().map(|q| format!("?{q}")).unwrap_or_default();
+    Ok((ServiceId::new(service), format!("/{rest}{query}")))
+}
+
 /// Refuses a request that has a key where a target would see it.
 ///
 /// # Errors
--- a/src/node/status.rs
+++ b/src/node/status.rs
@@ -7,6 +7,7 @@
 use http::{Response, StatusCode};
 use macro_rules_attribute::apply;
 
+use crate::clock;
 use crate::common::record;
 use crate::model::ServiceId;
 use crate::net::text_response;
@@ -67,13 +68,12 @@
 
 /// The metrics as text, with all gauges updated.
 pub(super) fn metrics(node: &Node) -> String {
-    let now = Instant::now();
     let metrics = &node.metrics;
     let late_answers: u64 = node.mesh.peers().iter().map(|p| p.client.late_answers()).sum();
     metrics.late_answers.set(late_answers as i64);
     metrics.parts.set(node.escrow.with(|e| e.parts()).into());
     metrics.slices.set(node.ownership.slices().len() as i64);
-    metrics.age_ms.set(node.freshness.age(now).as_millis() as i64);
+    metrics.age_ms.set(node.freshness.age(clock::now()).as_millis() as i64);
     metrics.open_claims.set(node.claims.pending() as i64);
     metrics.text()
 }
@@ -96,7 +96,7 @@
         vm: node.me.vm.to_string(),
         zone: node.me.place.zone.to_string(),
         state: format!("{:?}", node.lifecycle.state()).to_lowercase(),
-        age_ms: node.freshness.age(now).as_millis() as u64,
+        age_ms: node.freshness.age(clock::now()).as_millis() as u64,
         parts: node.escrow.with(|e| e.parts()),
         slices: node.ownership.slices().len(),
         versions: node
--- a/src/node/watcher.rs
+++ b/src/node/watcher.rs
@@ -1,9 +1,10 @@
 //! Watches the store for changed objects. Only a few VMs of each zone watch, and the others get the
 //! objects from their peers; a VM whose copy becomes stale watches by itself.
 
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use crate::clock;
 use crate::model::{Object, ObjectId, ObjectKind};
 use crate::store::{CONFIG_PREFIX, Revision, StoreError, read_object};
 use crate::zone::rendezvous_order;
@@ -13,36 +14,20 @@
 
 /// Number of VMs in each zone that watch the store.
 const WATCHERS_PER_ZONE: usize = 2;
-/// Longest wait of one watch; at its end the copy is known to be complete.
-const WATCH_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Longest wait of one watch. At its end the copy is known to have been complete at its beginning, so
+/// the age of the copy of a VM that watches stays below twice this.
+const WATCH_TIMEOUT: Duration = Duration::from_millis(500);
 /// Age of its copy above which a VM watches the store even if others of its zone do.
 const MAX_AGE: Duration = Duration::from_millis(3_000);
 /// Interval of the checks while other VMs watch, and pause after a failed watch.
 const POLL_INTERVAL: Duration = Duration::from_millis(250);
 
-/// When this VM's copy of the store's configuration was last complete.
-#[derive(Debug)]
-pub(crate) struct Freshness {
-    start: Instant,
-    complete_at: Mutex<Option<Instant>>,
-}
-
-impl Freshness {
-    pub(crate) fn new(now: Instant) -> Self {
-        Self { start: now, complete_at: Mutex::default() }
-    }
-
-    /// Records that the copy was complete at `at`.
-    pub(crate) fn confirm(&self, at: Instant) {
-        let mut latest = self.complete_at.lock().expect("freshness lock");
-        *latest = Some(latest.map_or(at, |last| last.max(at)));
-    }
-
-    /// Time since the copy was complete; since the start if it never was.
-    pub(crate) fn age(&self, now: Instant) -> Duration {
-        let latest = self.complete_at.lock().expect("freshness lock");
-        now.saturating_duration_since(latest.unwrap_or(self.start))
-    }
+/// What a watch of the store has brought.
+struct Poll {
+    /// The revision of the store that it announced.
+    revision: Revision,
+    /// True if all announced objects were read, in the announced revision or a later one.
+    complete: bool,
 }
 
 /// Watches the store whenever this VM has to, until the daemon ends.
@@ -50,16 +35,21 @@
     let mut after: Revision = 0;
     loop {
         let now = Instant::now();
-        let stale = node.freshness.age(now) > MAX_AGE;
+        let stale = node.freshness.age(clock::now()) > MAX_AGE;
         // Until it has read the whole configuration once, every VM reads the store.
         if after != 0 && !is_watcher(&node, now) && !stale {
             tokio::time::sleep(POLL_INTERVAL).await;
             continue;
         }
         match poll_changes(&node, after).await {
-            Ok(revision) => {
-                after = revision;
+            Ok(poll) => {
                 node.lifecycle.apply(DaemonEvent::Configured);
+                if poll.complete {
+                    after = poll.revision;
+                } else {
+                    log::warn!("store: Reads lag behind revision {}.", poll.revision);
+                    tokio::time::sleep(POLL_INTERVAL).await;
+                }
             }
             Err(e) => {
                 log::warn!("store: Watching the configuration failed: {e}.");
@@ -69,19 +59,23 @@
     }
 }
 
-/// Waits once for changes after revision `after` and applies them. Returns the revision reached.
-async fn poll_changes(node: &Node, after: Revision) -> Result<Revision, StoreError> {
+/// Waits once for changes after revision `after` and applies them.
+async fn poll_changes(node: &Node, after: Revision) -> Result<Poll, StoreError> {
     let timeout = if after == 0 { Duration::ZERO } else { WATCH_TIMEOUT };
+    // The response may have waited while this process was suspended, so only the beginning counts.
+    let begun = clock::now();
     let changes = node.store.watch(CONFIG_PREFIX, after, timeout).await?;
-    let seen = Instant::now();
+    let mut complete = true;
     for change in &changes.changes {
         let Some(id) = change.path.strip_prefix(CONFIG_PREFIX).and_then(parse_id) else { continue };
-        if let Some((object, _)) = read_object(node.store.as_ref(), &id).await? {
-            node.offer(Instant::now(), vec![object]);
-        }
+        let read = read_object(node.store.as_ref(), &id).await?;
+        complete &= read.as_ref().is_some_and(|(_, revision)| *revision >= change.revision);
+        node.offer(Instant::now(), read.into_iter().map(|(object, _)| object).collect());
+    }
+    if complete {
+        node.freshness.confirm(begun);
     }
-    node.freshness.confirm(seen);
-    Ok(changes.revision)
+    Ok(Poll { revision: changes.revision, complete })
 }
 
 /// True if this VM is one of its zone's watchers, by the peers that are live to it.
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -4,6 +4,8 @@
 
 pub mod ask;
 
+use std::time::Duration;
+
 use prost::{Enumeration, Message, Oneof};
 
 use super::steering::{DrawRequest, DrawResponse, SyncRequest, SyncResponse, TargetCrash};
@@ -83,7 +85,8 @@
     /// Digest of the versions of all objects in the sender's catalog.
     #[prost(uint64, tag = "1")]
     pub digest: u64,
-    /// Time since the sender's catalog was last in sync with the store, in milliseconds.
+    /// Time since the sender's catalog was last in sync with the store, in milliseconds;
+    /// [`Self::AGE_MS_UNKNOWN`] if it never was.
     #[prost(uint64, tag = "2")]
     pub age_ms: u64,
     /// True if the sender accepts no new callers, since it will stop.
@@ -97,6 +100,24 @@
     pub homes: Vec<PoolHome>,
 }
 
+impl Heartbeat {
+    /// [`Self::age_ms`] of a catalog that was never in sync with the store.
+    pub const AGE_MS_UNKNOWN: u64 = u64::MAX;
+
+    /// [`Self::age_ms`] of a catalog that was in sync with the store so long ago. Rounded up: what is
+    /// passed on from VM to VM must not get younger.
+    pub fn age_ms_of(age: Option<Duration>) -> u64 {
+        let round_up = |age: Duration| age.as_nanos().div_ceil(1_000_000) as u64;
+        age.map_or(Self::AGE_MS_UNKNOWN, round_up)
+    }
+
+    /// Time since the sender's catalog was last in sync with the store, if it ever was.
+    pub fn age(&self) -> Option<Duration> {
+        let known = self.age_ms != Self::AGE_MS_UNKNOWN;
+        known.then(|| Duration::from_millis(self.age_ms))
+    }
+}
+
 /// Capacity and load of one service's targets at an egress VM.
 #[derive(Clone, PartialEq, Message)]
 pub struct ServiceLoad {
--- a/tests/final_refusals.rs
+++ b/tests/final_refusals.rs
@@ -7,6 +7,8 @@
 
 use common::{Call, Fleet, desk_document};
 use futures_util::future::join_all;
+use shallotstall::model::{NotRecent, check_recent};
+use shallotstall::peer::Heartbeat;
 use shallotstall::standin::{StoreFaults, StoreMode};
 
 /// The bound on the age of the configuration, by its default.
@@ -105,6 +107,40 @@
     Fleet::new(&[("desk", "n1", 8), ("hall", "n1", 8)]).await
 }
 
+/// What the daemons decide by, replayed: a start, copies that were complete, and a suspension from 20 s to 30 s.
+#[test]
+fn a_copy_is_recent_only_below_the_bound() {
+    let ms = Duration::from_millis;
+    let old = |age| Err(NotRecent::TooOld { age: ms(age) });
+    let cases = [
+        ("start", None, 10_000, Err(NotRecent::Incomplete)),
+        ("complete now", Some(10_500), 10_500, Ok(())),
+        ("complete during the check", Some(10_501), 10_500, Ok(())),
+        ("below the bound", Some(16_000), 19_999, Ok(())),
+        ("at the bound", Some(16_000), 20_000, old(4_000)),
+        ("resumed", Some(19_500), 30_000, old(10_500)),
+        ("a watch from before the suspension", Some(19_900), 30_001, old(10_101)),
+        ("a watch that began after it", Some(30_001), 30_100, Ok(())),
+    ];
+    for (name, complete_at, now, expected) in cases {
+        let checked = check_recent(complete_at.map(ms), ms(now), AGE_MAX);
+        assert_eq!(checked, expected, "{name}");
+    }
+}
+
+/// VMs that are cut off together pass the age of their copies on to each other again and again.
+#[test]
+fn an_age_that_is_passed_on_never_falls() {
+    let ages = [0, 1, 999_999, 1_000_000, 1_000_001, 4_000_000_000].map(Duration::from_nanos);
+    for age in ages {
+        let heartbeat =
+            Heartbeat { age_ms: Heartbeat::age_ms_of(Some(age)), ..Heartbeat::default() };
+        assert!(heartbeat.age() >= Some(age), "{age:?}");
+    }
+    let never = Heartbeat { age_ms: Heartbeat::age_ms_of(None), ..Heartbeat::default() };
+    assert_eq!(never.age(), None);
+}
+
 /// A daemon is suspended while the configuration changes. Requests wait for it, and more come when it
 /// runs again, before it can have learnt of the change.
 #[tokio::test]
--- a/tests/inputs.rs
+++ b/tests/inputs.rs
@@ -116,6 +116,11 @@
         ("plaintext = true", "plaintext = true\nkey = \"k\"", "allows no certificate"),
         ("plaintext = true", "key = \"k\"", "must be set together"),
         ("plaintext = true", "plaintext = true\nttl_ms = 5", "callers.ttl_ms: 5 is not from 100"),
+        (
+            "plaintext = true",
+            "plaintext = true\nfinal_age_ms = 1999",
+            "callers.final_age_ms: 1999 is not from 2000",
+        ),
     ];
     for (from, to, words) in cases {
         let error = read(&VALID_SETTINGS.replacen(from, to, 1)).expect_err(to);
