Front: final rejections that a newer routing table allows are counted and logged

Cause: when a caller got a 404 or 401 for a route or key that had been added, nothing told so later: the newer table came in force and the rejection was forgotten. Change: the last 256 rejections `no-route` and `no-key` of the last 10 s are kept (host, path, digest of the key; `steer::RecentRejections`, without I/O) and judged again by each newer routing table. Those that it allows are counted (`rejections_overturned` by reason) and logged once as `overturned`. Texts of more than 1 KiB aren't kept, which bounds the memory. The time to judge 256 rejections by a table of thousands of routes was not measured.

--- a/src/front/decision_metrics.rs
+++ b/src/front/decision_metrics.rs
@@ -9,6 +9,8 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use crate::steer::RejectionReason;
+
 use super::Front;
 use super::config::FleetBounds;
 
@@ -28,10 +30,17 @@
     old: bool,
 }
 
+/// Labels of the counter of overturned rejections.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OverturnedLabels {
+    reason: &'static str,
+}
+
 /// Metrics of the decisions about requests.
 pub(crate) struct DecisionMetrics {
     table_age: Histogram,
     final_rejections: Family<RejectionLabels, Counter>,
+    overturned: Family<OverturnedLabels, Counter>,
 }
 
 impl DecisionMetrics {
@@ -39,11 +48,14 @@
     pub(crate) fn new(registry: &mut Registry) -> Self {
         let table_age = Histogram::new(TABLE_AGE_BUCKETS);
         let final_rejections = Family::default();
+        let overturned = Family::default();
         let help = "Age of the routing table when a request was decided by it";
         registry.register("decision_table_age_seconds", help, table_age.clone());
         let help = "Final rejections by reason, and whether the routing table was too old for them";
         registry.register("final_rejections", help, final_rejections.clone());
-        Self { table_age, final_rejections }
+        let help = "Final rejections of requests that a newer routing table allows, by reason";
+        registry.register("rejections_overturned", help, overturned.clone());
+        Self { table_age, final_rejections, overturned }
     }
 
     /// Records that a request is decided by a routing table of this age.
@@ -51,6 +63,12 @@
         self.table_age.observe(age.as_secs_f64());
     }
 
+    /// Records a rejection that a newer routing table has proved wrong.
+    pub(crate) fn record_overturned(&self, reason: RejectionReason) {
+        let labels = OverturnedLabels { reason: reason.as_str() };
+        self.overturned.get_or_create(&labels).inc();
+    }
+
     fn record_rejection(&self, labels: RejectionLabels) {
         self.final_rejections.get_or_create(&labels).inc();
     }
--- a/src/front/ingress.rs
+++ b/src/front/ingress.rs
@@ -18,7 +18,9 @@
 use crate::net::{
     Arrival, HoldKind, LaterRequests, Respond, full_body, header_text, text_response,
 };
-use crate::steer::{Access, Customer, PickRequest, Rank, TableIndex, WeightedService, name_hash};
+use crate::steer::{
+    Access, Customer, PickRequest, Rank, RejectionReason, TableIndex, WeightedService, name_hash,
+};
 use crate::targets::CrashTracker;
 
 use super::admission::TokenRefusal;
@@ -162,6 +164,7 @@
     })?;
     let found = index.route(host, head.uri.path()).cloned();
     let route = found.ok_or_else(|| {
+        front.keep_rejection(RejectionReason::NoRoute, &log.id, host, &head, &index);
         RequestError::new(StatusCode::NOT_FOUND, "no-route", "no route matches host and path")
     })?;
     log.route.clone_from(&route.name);
@@ -171,6 +174,7 @@
         Access::Open => None,
         Access::Customer(c) => Some(c.clone()),
         Access::Denied => {
+            front.keep_rejection(RejectionReason::NoKey, &log.id, host, &head, &index);
             return Err(RequestError::new(
                 StatusCode::UNAUTHORIZED,
                 "no-key",
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -24,6 +24,7 @@
 mod outbound;
 mod probes;
 mod rates;
+mod rejections;
 mod request;
 mod request_head;
 mod response;
@@ -33,8 +34,8 @@
 mod source;
 mod state;
 
-use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use tokio::sync::{Notify, SetOnce};
@@ -43,7 +44,7 @@
 use crate::model::Place;
 use crate::net::LaterRequests;
 use crate::peer::Identity;
-use crate::steer::StopSchedule;
+use crate::steer::{RecentRejections, StopSchedule};
 
 pub use config::{
     ConfigDuration, DecisionLogConfig, FleetBounds, FrontConfig, FrontPeers, FrontStore, Listen,
@@ -81,6 +82,8 @@
     stop: SetOnce<StopSchedule>,
     /// Set while this VM's reads of the store fail.
     pub(crate) store_unreachable: AtomicBool,
+    /// The last final rejections, which a newer routing table may prove wrong.
+    rejections: Mutex<RecentRejections>,
     in_flight: InFlight,
     lag: LagMeter,
     /// Notified when a request finds no token; wakes the task that draws from the zone leader.
--- a/src/front/news.rs
+++ b/src/front/news.rs
@@ -345,6 +345,7 @@
         let accepted =
             TableAccepted { what: "configuration", version, age_ms, from: from.to_owned() };
         self.decision_log.log_limited("believes", &accepted);
+        self.report_overturned(now);
         self.metrics.version.set(version as i64);
     }
 
--- a/src/front/run.rs
+++ b/src/front/run.rs
@@ -1,8 +1,8 @@
 //! Starts the front's servers and tasks, and stops them gracefully.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use anyhow::{Context, Result};
@@ -98,6 +98,7 @@
             started: now,
             stop: SetOnce::new(),
             store_unreachable: AtomicBool::new(false),
+            rejections: Mutex::default(),
             in_flight: InFlight::default(),
             lag: LagMeter::new(now),
             token_demand: Notify::new(),
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -13,6 +13,7 @@
 //!   [`TokenQueue`] holds those that wait for a token.
 //! - [`RetryBudgets`] bounds the retries.
 //! - [`ReadContext`] decides which VMs read the store.
+//! - [`RecentRejections`] tells which rejections a newer routing table proves wrong.
 //! - [`StopSchedule`] decides what a stopping VM still accepts; [`LoopTicks`] since when it stops.
 //! - [`Fleet`] knows the other entry VMs: which to sync from, draw tokens from and return in
 //!   look-ups.
@@ -36,6 +37,7 @@
 mod ranking;
 mod reach;
 mod reading;
+mod recent_rejections;
 mod record;
 mod region_weights;
 mod rendezvous;
@@ -64,6 +66,7 @@
 pub use pool::{TokenGrant, TokenPool, TokenRequest};
 pub use rank::{CLASSES, Rank, RankClass, RankClasses};
 pub use reading::{ReadContext, Upstream};
+pub use recent_rejections::{OverturnedRejection, RecentRejections, Rejection, RejectionReason};
 pub use record::{TargetReadiness, TargetRecord};
 pub use rendezvous::{NameHash, name_hash, rendezvous_score, weighted_score};
 pub use replica::{Delta, Feed, Item, Replica};
--- a/src/steer/table.rs
+++ b/src/steer/table.rs
@@ -197,13 +197,26 @@
 
     /// Whether a request with `key` may use `route`.
     pub fn access(&self, route: &Route, key: Option<&str>) -> Access<'_> {
-        if route.open || self.table.customers.is_empty() {
+        if self.is_open(route) {
             return Access::Open;
         }
-        let customer = key.and_then(|k| self.keys.get(&key_hash(k)));
+        self.access_by_hash(route, key.map(key_hash).as_ref())
+    }
+
+    /// Whether a request with the key of this digest may use `route`.
+    pub fn access_by_hash(&self, route: &Route, key: Option<&KeyHash>) -> Access<'_> {
+        if self.is_open(route) {
+            return Access::Open;
+        }
+        let customer = key.and_then(|k| self.keys.get(k));
         customer.map_or(Access::Denied, |&i| Access::Customer(&self.table.customers[i]))
     }
 
+    /// True if `route` needs no key.
+    fn is_open(&self, route: &Route) -> bool {
+        route.open || self.table.customers.is_empty()
+    }
+
     /// The service with this name.
     pub fn service(&self, id: &ServiceId) -> Option<&Service> {
         self.services.get(id).map(|&i| &self.table.services[i])
