--- a/src/front/decision_metrics.rs
+++ b/src/front/decision_metrics.rs
@@ -1,5 +1,5 @@
 //! Metrics of what the front decides by its routing table: how old the table was, and which requests
-//! were rejected for good.
+//! were rejected for good. Also of what never became a request.
 
 use std::time::Duration;
 
@@ -9,6 +9,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use crate::net::UnparsedCause;
 use crate::steer::RejectionReason;
 
 use super::Front;
@@ -36,11 +37,18 @@
     reason: &'static str,
 }
 
+/// Labels of the counter of heads that could not be parsed.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct UnparsedLabels {
+    cause: &'static str,
+}
+
 /// Metrics of the decisions about requests.
 pub(crate) struct DecisionMetrics {
     table_age: Histogram,
     final_rejections: Family<RejectionLabels, Counter>,
     overturned: Family<OverturnedLabels, Counter>,
+    unparsed: Family<UnparsedLabels, Counter>,
 }
 
 impl DecisionMetrics {
@@ -49,13 +57,16 @@
         let table_age = Histogram::new(TABLE_AGE_BUCKETS);
         let final_rejections = Family::default();
         let overturned = Family::default();
+        let unparsed = Family::default();
         let help = "Age of the routing table when a request was decided by it";
         registry.register("decision_table_age_seconds", help, table_age.clone());
         let help = "Final rejections by reason, and whether the routing table was too old for them";
         registry.register("final_rejections", help, final_rejections.clone());
         let help = "Final rejections of requests that a newer routing table allows, by reason";
         registry.register("rejections_overturned", help, overturned.clone());
-        Self { table_age, final_rejections, overturned }
+        let help = "Connections that ended with a head that could not be parsed, by cause";
+        registry.register("requests_unparsed", help, unparsed.clone());
+        Self { table_age, final_rejections, overturned, unparsed }
     }
 
     /// Records that a request is decided by a routing table of this age.
@@ -69,6 +80,11 @@
         self.overturned.get_or_create(&labels).inc();
     }
 
+    /// Records a head that could not be parsed.
+    pub(crate) fn record_unparsed(&self, cause: UnparsedCause) {
+        self.unparsed.get_or_create(&UnparsedLabels { cause: cause.as_str() }).inc();
+    }
+
     fn record_rejection(&self, labels: RejectionLabels) {
         self.final_rejections.get_or_create(&labels).inc();
     }
--- a/src/front/ingress.rs
+++ b/src/front/ingress.rs
@@ -16,7 +16,7 @@
 use crate::clock;
 use crate::model::ServiceId;
 use crate::net::{
-    Arrival, HoldKind, LaterRequests, Respond, full_body, header_text, text_response,
+    Arrival, HoldKind, LaterRequests, Respond, UnparsedCause, full_body, header_text, text_response,
 };
 use crate::steer::{
     Access, Customer, PickRequest, Rank, RejectionReason, TableIndex, WeightedService, name_hash,
@@ -75,6 +75,10 @@
             })
     }
 
+    fn unparsed(&self, from: SocketAddr, cause: UnparsedCause) {
+        self.0.report_unparsed(from, cause);
+    }
+
     async fn respond(&self, _: Request<Bytes>, _: SocketAddr) -> Response<Bytes> {
         text_response(StatusCode::NOT_IMPLEMENTED, "requests are streamed")
     }
--- a/src/front/rejections.rs
+++ b/src/front/rejections.rs
@@ -1,11 +1,14 @@
-//! Keeps the last final rejections, and reports those that a newer routing table proves wrong.
+//! Keeps the last final rejections, and reports those that a newer routing table proves wrong. Also
+//! reports what never became a request.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use http::request::Parts;
 use serde::Serialize;
 
 use crate::clock;
+use crate::net::UnparsedCause;
 use crate::steer::{OverturnedRejection, Rejection, RejectionReason, TableIndex, key_hash};
 
 use super::Front;
@@ -38,6 +41,14 @@
     }
 }
 
+/// The log line of a head that could not be parsed.
+#[derive(Serialize)]
+struct UnparsedRecord {
+    /// The caller's address.
+    from: SocketAddr,
+    cause: &'static str,
+}
+
 impl Front {
     /// Keeps the rejection of a request for `host` by `index`, so that the next routing tables judge it
     /// again.
@@ -71,4 +82,10 @@
             self.decision_log.log_limited("overturned", &record);
         }
     }
+
+    /// Counts and logs a request of the caller at `from` whose head could not be parsed.
+    pub(crate) fn report_unparsed(&self, from: SocketAddr, cause: UnparsedCause) {
+        self.metrics.decisions.record_unparsed(cause);
+        self.decision_log.log_limited("unparsed", &UnparsedRecord { from, cause: cause.as_str() });
+    }
 }
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -28,6 +28,7 @@
 };
 use super::respond::{self, Respond};
 use super::tracked::{TrackedStream, hold_until_sent};
+use super::unparsed::UnparsedCause;
 use crate::clock;
 
 /// Default limit of a request line with its headers, in bytes.
@@ -141,6 +142,9 @@
     };
     if let Err(e) = &outcome {
         log::debug!("http: connection from {from} failed: {e}.");
+        if let Some(cause) = UnparsedCause::of(e) {
+            state.responder.unparsed(from, cause);
+        }
     }
     // Also drops what is left of the session, and with it all tasks.
     let stream = connection.into_parts().io.into_inner().into_inner().into_inner();
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -16,6 +16,7 @@
 mod serve;
 mod tls;
 mod tracked;
+mod unparsed;
 
 pub(crate) use byte_budget::UNCOUNTED_BYTES;
 pub use byte_budget::{ByteBudget, HeldBytes, HoldKind};
@@ -34,3 +35,4 @@
 pub use serve::Server;
 pub use tls::tls_acceptor;
 pub(crate) use tracked::hold_until_sent;
+pub use unparsed::UnparsedCause;
--- a/src/net/respond.rs
+++ b/src/net/respond.rs
@@ -15,6 +15,7 @@
 
 use super::read_ahead::LaterRequests;
 use super::response::{bytes_response, full_body};
+use super::unparsed::UnparsedCause;
 
 /// Largest body of a request that is read whole, in bytes.
 const MAX_BODY_BYTES: usize = 1 << 20;
@@ -34,6 +35,10 @@
         false
     }
 
+    /// Learns that the connection of the client at `from` ended with a head that could not be parsed, so
+    /// that it got an error without a request.
+    fn unparsed(&self, _from: SocketAddr, _cause: UnparsedCause) {}
+
     /// Handles one request from the client at `from`.
     async fn respond(&self, request: Request<Bytes>, from: SocketAddr) -> Response<Bytes>;
 
