--- a/tests/final_refusals.rs
+++ b/tests/final_refusals.rs
@@ -141,10 +141,9 @@
     assert_eq!(never.age(), None);
 }
 
-/// A daemon is suspended while the configuration changes. Requests wait for it, and more come when it
-/// runs again, before it can have learnt of the change.
-#[tokio::test]
-async fn no_final_refusal_by_what_was_known_before_a_suspension() {
+/// A fleet of which `n1-b` has been suspended for longer than the bound, and the configuration has been
+/// changed meanwhile.
+async fn suspended_fleet() -> (Fleet, Keys) {
     let mut fleet = new_fleet().await;
     fleet.start_vms(&["n1-a", "n1-b"]).await;
     let old = configure(&fleet, "n1-a").await;
@@ -156,6 +155,14 @@
     tokio::time::sleep(AFTER_WATCH).await;
     let keys = change(&fleet, "n1-a", old).await;
     suspended.await;
+    (fleet, keys)
+}
+
+/// A daemon is suspended while the configuration changes. Requests wait for it, and more come when it
+/// runs again, before it can have learnt of the change.
+#[tokio::test]
+async fn no_final_refusal_by_what_was_known_before_a_suspension() {
+    let (fleet, keys) = suspended_fleet().await;
     let waiting = join_all((0..ROUNDS).map(|_| send_cases(&fleet, "n1-b", &keys)));
     let resumed = async {
         // The requests of `waiting` are sent first.
@@ -174,6 +181,24 @@
     fleet.await_response("n1-b", "/desk/none", &keys.old, 404).await;
 }
 
+/// A daemon is suspended, and then reaches neither the store nor its peer. All that it may get is
+/// the response to its watch, from before the change.
+#[tokio::test]
+async fn no_final_refusal_by_a_response_that_waited_for_a_suspended_daemon() {
+    let (fleet, keys) = suspended_fleet().await;
+    let stalled = StoreFaults { mode: StoreMode::Stalled, ..StoreFaults::default() };
+    fleet.store_faults(&stalled).await;
+    fleet.vm("n1-a").signal("STOP");
+    fleet.vm("n1-b").signal("CONT");
+    for _ in 0..ROUNDS {
+        send_cases(&fleet, "n1-b", &keys).await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    fleet.store_faults(&StoreFaults::default()).await;
+    fleet.vm("n1-a").signal("CONT");
+    await_cases(&fleet, "n1-b", &keys).await;
+}
+
 /// A daemon has just started and can't read the store: it knows nothing yet.
 #[tokio::test]
 async fn no_final_refusal_before_the_first_configuration() {
