Front: no final rejection by a routing table that is too old

Cause: a front looked at the age of its routing table only after route and key had been found (check_table_age), so a VM that stood still or was cut off said 404, 401 and 413 from a table of any age. Callers don't come back after those. Change: steer/freshness.rs decides what a table of some age is good for: final rejections below the new setting bounds.config_apply (default 4 s), keys as before. front/access.rs looks up route, key and limits; where the table is too old it waits up to 450 ms for a newer proof, looks everything up again, and then says 503 table-old or keys-old. No wait if the last read of the store has failed, the wait would pass the deadline, the VM is stopping and may not finish the request, or 256 requests wait already. tests/front_config.rs: two lines more, nothing changed.

--- a/src/front/config.rs
+++ b/src/front/config.rs
@@ -11,7 +11,7 @@
 
 use crate::common::record;
 use crate::model::{Place, RegionId, VmId, ZoneId};
-use crate::steer::RetryBounds;
+use crate::steer::{AgeBounds, RetryBounds};
 
 /// Smallest processor share in the settings, in cores.
 const CPU_MIN: f64 = 0.001;
@@ -104,6 +104,8 @@
 #[apply(record!)]
 #[serde(default)]
 pub struct FleetBounds {
+    /// Longest time until a new configuration must be in force on every VM in touch.
+    pub config_apply: ConfigDuration,
     /// Longest time for which a withdrawn key may still be accepted.
     pub revoke: ConfigDuration,
     /// Whether a VM rejects keys when its routing table is too old to prove that they are valid.
@@ -126,6 +128,7 @@
     fn default() -> Self {
         let seconds = |s| ConfigDuration(Duration::from_secs(s));
         Self {
+            config_apply: seconds(4),
             revoke: seconds(5),
             fail_closed: false,
             grace: seconds(6),
@@ -138,6 +141,17 @@
     }
 }
 
+impl FleetBounds {
+    /// The limits of the routing table's age.
+    pub fn age_bounds(&self) -> AgeBounds {
+        AgeBounds {
+            config_apply: self.config_apply.0,
+            revoke: self.revoke.0,
+            fail_closed: self.fail_closed,
+        }
+    }
+}
+
 /// The decision log.
 #[apply(record!)]
 #[serde(default)]
@@ -255,6 +269,7 @@
         );
         let bounds = &self.bounds;
         for (field, duration) in [
+            ("bounds.config_apply", bounds.config_apply),
             ("bounds.revoke", bounds.revoke),
             ("bounds.grace", bounds.grace),
             ("bounds.lookup_ttl", bounds.lookup_ttl),
--- a/src/front/ingress.rs
+++ b/src/front/ingress.rs
@@ -1,4 +1,4 @@
-//! Handles callers' requests: checks route, key, size and rate, then sends the request to a target.
+//! Handles callers' requests: checks access and rate, then sends the request to a target.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -18,25 +18,20 @@
 use crate::net::{
     Arrival, HoldKind, LaterRequests, Respond, full_body, header_text, text_response,
 };
-use crate::steer::{Access, Customer, PickRequest, Rank, TableIndex, WeightedService, name_hash};
+use crate::steer::{Customer, PickRequest, Rank, WeightedService, name_hash};
 use crate::targets::CrashTracker;
 
+use super::access::Grant;
 use super::admission::TokenRefusal;
 use super::body_buffer::{ReadEnd, read_start};
 use super::metrics::RequestLabels;
 use super::request::{Admitted, RequestBody, RequestError, RequestLog, path_and_query};
-use super::request_head::{affinity_key, api_key, caller_timeout, check_size};
-use super::{Front, admission, attempt, in_flight};
+use super::request_head::affinity_key;
+use super::{Front, access, admission, attempt, in_flight};
 
 /// Longest request body that is buffered before it is forwarded, in bytes. A longer one is streamed,
 /// so it can't be sent again.
 const BUFFERED_BODY_MAX: usize = 64 << 10;
-/// Keys are rejected this long before the age limit, since a watch may report a withdrawal late.
-const REVOKE_MARGIN: Duration = Duration::from_millis(1_300);
-/// Time for which a request waits for the first routing table.
-const TABLE_TIMEOUT: Duration = Duration::from_millis(450);
-/// Interval of the checks for the first routing table.
-const TABLE_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// The log line of a finished request.
 #[derive(Serialize)]
@@ -149,41 +144,10 @@
     let (head, body) = request.into_parts();
     log.id = header_text(&head.headers, &front.headers.attempt).unwrap_or_default().to_owned();
     log.in_flight.update(|r| r.id.clone_from(&log.id));
-    let index = wait_for_index(front).await;
-    let index = index
-        .ok_or_else(|| RequestError::not_run("no-table", "no routing table has been received"))?;
-    let host = header_text(&head.headers, HOST).or_else(|| head.uri.host());
-    let host = host.ok_or_else(|| {
-        RequestError::new(StatusCode::BAD_REQUEST, "no-host", "the Host header is missing")
-    })?;
-    let found = index.route(host, head.uri.path()).cloned();
-    let route = found.ok_or_else(|| {
-        RequestError::new(StatusCode::NOT_FOUND, "no-route", "no route matches host and path")
-    })?;
-    log.route.clone_from(&route.name);
-    log.in_flight.update(|r| r.route.clone_from(&route.name));
-    let access = index.access(&route, api_key(front, &head.headers));
-    let customer = match access {
-        Access::Open => None,
-        Access::Customer(c) => Some(c.clone()),
-        Access::Denied => {
-            return Err(RequestError::new(
-                StatusCode::UNAUTHORIZED,
-                "no-key",
-                "the API key is missing or belongs to no customer",
-            ));
-        }
-    };
-    log.customer = customer.as_ref().map(|c| c.id.to_string()).unwrap_or_default();
-    check_size(&head.headers, &index)?;
-    let caller_deadline = arrived + caller_timeout(front, &head.headers);
-    let deadline = caller_deadline.min(arrived + Duration::from_millis(route.timeout_ms));
-    check_stop(front, deadline)?;
+    let Grant { index, route, customer, allowed_regions, deadline, caller_deadline } =
+        access::find_grant(front, &head, arrived, log).await?;
+    front.check_stop(clock::now(), deadline)?;
     check_deadline(deadline)?;
-    if customer.is_some() {
-        check_table_age(front, clock::now())?;
-    }
-    let allowed_regions = index.allowed_regions(&route, access);
     let affinity = affinity_key(front, &head.headers).filter(|_| route.sticky);
     log.affinity = affinity.unwrap_or_default().to_owned();
     // A request without an affinity key may go to any target.
@@ -239,42 +203,6 @@
     RequestError { retry_after: Some(refusal.retry_after), ..error }
 }
 
-/// The routing table; a process that has just started waits for the first one.
-async fn wait_for_index(front: &Front) -> Option<Arc<TableIndex>> {
-    let until = clock::now() + TABLE_TIMEOUT;
-    loop {
-        let index = front.state.index();
-        if index.is_some() || clock::now() >= until {
-            return index;
-        }
-        tokio::time::sleep(TABLE_POLL_INTERVAL).await;
-    }
-}
-
-/// Rejects keys when the table is so old that they may have been withdrawn, if the settings say so.
-fn check_table_age(front: &Front, now: Duration) -> Result<(), RequestError> {
-    let bounds = &front.config.bounds;
-    let age = front.state.table_age(now).unwrap_or(Duration::MAX);
-    if bounds.fail_closed && age.saturating_add(REVOKE_MARGIN) > bounds.revoke.0 {
-        let detail = format!(
-            "the routing table is {} ms old, so keys may have been withdrawn",
-            age.as_millis()
-        );
-        return Err(RequestError::not_run("keys-old", detail));
-    }
-    Ok(())
-}
-
-/// Rejects a request that a stopping VM may not finish.
-fn check_stop(front: &Front, deadline: Duration) -> Result<(), RequestError> {
-    match front.accepts(clock::now(), deadline) {
-        true => Ok(()),
-        false => {
-            Err(RequestError::not_run("stopping", "this entry VM is stopping").retry_at_once())
-        }
-    }
-}
-
 /// The error of a request that has no response when the stop ends.
 fn stopped_error(log: &RequestLog) -> RequestError {
     let detail = "this entry VM exits before the request ends";
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -6,6 +6,7 @@
 //! A platform adapter starts a [`FrontDaemon`] and supplies what is specific to the platform:
 //! its store as a [`Source`] and its header names as [`Headers`].
 
+mod access;
 mod admission;
 mod attempt;
 mod body_buffer;
@@ -36,7 +37,7 @@
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
-use tokio::sync::{Notify, SetOnce};
+use tokio::sync::{Notify, Semaphore, SetOnce};
 
 use crate::clock;
 use crate::model::Place;
@@ -56,6 +57,7 @@
 use lag::LagMeter;
 use metrics::FrontMetrics;
 use outbound::TargetClient;
+use request::RequestError;
 use sessions::Sessions;
 use state::FrontState;
 
@@ -80,6 +82,8 @@
     stop: SetOnce<StopSchedule>,
     /// Set while this VM's reads of the store fail.
     pub(crate) store_unreachable: AtomicBool,
+    /// Room for requests that wait for a newer proof of the routing table.
+    proof_room: Semaphore,
     in_flight: InFlight,
     lag: LagMeter,
     /// Notified when a request finds no token; wakes the task that draws from the zone leader.
@@ -107,6 +111,16 @@
         self.stop.get().is_none_or(|stop| stop.accepts(now, deadline))
     }
 
+    /// Rejects a request that a stopping VM may not finish.
+    fn check_stop(&self, now: Duration, deadline: Duration) -> Result<(), RequestError> {
+        match self.accepts(now, deadline) {
+            true => Ok(()),
+            false => {
+                Err(RequestError::not_run("stopping", "this entry VM is stopping").retry_at_once())
+            }
+        }
+    }
+
     /// Time left for a response to a request that times out at `deadline`; a stopping VM gives up
     /// its last requests before its grace period ends.
     pub(crate) fn time_left(&self, now: Duration, deadline: Duration) -> Duration {
--- a/src/front/run.rs
+++ b/src/front/run.rs
@@ -9,13 +9,13 @@
 use rand::Rng;
 use serde::Serialize;
 use tokio::net::TcpListener;
-use tokio::sync::{Notify, SetOnce};
+use tokio::sync::{Notify, Semaphore, SetOnce};
 
 use crate::clock;
 use crate::net::{AheadBudget, ConnectionLimits, Respond, Server};
 use crate::node::unix_millis;
 use crate::peer::{Dialer, Identity, PeerServer, Secret};
-use crate::steer::StopSchedule;
+use crate::steer::{PROOF_WAITERS_MAX, StopSchedule};
 
 use super::config::FrontConfig;
 use super::decisions::DecisionLogger;
@@ -98,6 +98,7 @@
             started: now,
             stop: SetOnce::new(),
             store_unreachable: AtomicBool::new(false),
+            proof_room: Semaphore::new(PROOF_WAITERS_MAX),
             in_flight: InFlight::default(),
             lag: LagMeter::new(now),
             token_demand: Notify::new(),
--- a/src/front/state.rs
+++ b/src/front/state.rs
@@ -8,6 +8,7 @@
 use arc_swap::ArcSwapOption;
 use bytes::Bytes;
 use serde::de::DeserializeOwned;
+use tokio::sync::Notify;
 
 use crate::model::{TargetId, VmId, ZoneId};
 use crate::peer::Identity;
@@ -65,6 +66,8 @@
 pub(crate) struct FrontState {
     locked: Mutex<SharedState>,
     index: ArcSwapOption<TableIndex>,
+    /// Notified when the routing table is received again, or proven to be unchanged.
+    pub(crate) table_proof: Notify,
 }
 
 impl FrontState {
@@ -84,7 +87,11 @@
             recovering_until: Duration::ZERO,
             rejoined: None,
         };
-        Self { locked: Mutex::new(locked), index: ArcSwapOption::empty() }
+        Self {
+            locked: Mutex::new(locked),
+            index: ArcSwapOption::empty(),
+            table_proof: Notify::new(),
+        }
     }
 
     pub(crate) fn lock(&self) -> MutexGuard<'_, SharedState> {
@@ -125,7 +132,9 @@
         let bodies: Vec<(String, Option<Bytes>)> = changed.into_iter().map(with_body).collect();
         match feed {
             Feed::Table => {
-                let index = self.apply_table(bodies)?;
+                let index = self.apply_table(bodies);
+                self.table_proof.notify_waiters();
+                let index = index?;
                 state.balancer.set_regional_demand(index.regional_demand());
                 return Some(index.table().version);
             }
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -13,6 +13,7 @@
 //!   [`TokenQueue`] holds those that wait for a token.
 //! - [`RetryBudgets`] bounds the retries.
 //! - [`ReadContext`] decides which VMs read the store.
+//! - [`AgeBounds`] decides what a routing table of some age is good for.
 //! - [`StopSchedule`] decides what a stopping VM still accepts; [`LoopTicks`] since when it stops.
 //! - [`Fleet`] knows the other entry VMs: which to sync from, draw tokens from and return in
 //!   look-ups.
@@ -22,6 +23,7 @@
 mod backoff;
 mod balancer;
 mod fleet;
+mod freshness;
 mod known;
 mod limiter;
 mod load;
@@ -54,6 +56,7 @@
 
 pub use balancer::Balancer;
 pub use fleet::Fleet;
+pub use freshness::{AgeBounds, Conclusion, PROOF_TIMEOUT, PROOF_WAITERS_MAX, ProofContext};
 pub use known::{DueProbe, TargetTrust};
 pub use limiter::{PoolTimestamp, RateLimiter, TakeResult};
 pub use load_report::LoadReport;
--- a/tests/front_config.rs
+++ b/tests/front_config.rs
@@ -25,6 +25,7 @@
     assert_eq!(config.place().region, "north".into());
     assert!(!config.bounds.fail_closed);
     assert_eq!(config.bounds.revoke.0, Duration::from_secs(5));
+    assert_eq!(config.bounds.config_apply.0, Duration::from_secs(4));
     assert_eq!(config.cpu_millis(), 1_000, "one core unless the settings say otherwise");
     assert_eq!(config.memory_bytes(), 128 << 20, "128 MB unless the settings say otherwise");
 }
@@ -64,6 +65,7 @@
         (bounds("revoke = \"soon\""), "\"soon\" has no unit"),
         (bounds("revoke = \"-1s\""), "\"-1s\" is not a duration"),
         (bounds("revoke = \"0s\""), "bounds.revoke: 0 ms is not between 100 ms and 3600 s"),
+        (bounds("config_apply = \"50ms\""), "bounds.config_apply: 50 ms is not between 100 ms"),
         (bounds("retry_ratio = -0.5"), "bounds.retry_ratio: -0.5 is negative or not finite"),
         (bounds("retry_slack = nan"), "bounds.retry_slack: NaN is negative or not finite"),
         (bounds("speed = 3"), "speed"),
