--- a/src/front/decision_metrics.rs
+++ b/src/front/decision_metrics.rs
@@ -103,5 +103,5 @@
 
 /// Longest time that a configuration may take to be in force.
 fn apply_limit(bounds: &FleetBounds) -> Duration {
-    bounds.revoke.0
+    bounds.config_apply.0
 }
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -14,6 +14,7 @@
 //! - [`RetryBudgets`] bounds the retries.
 //! - [`ReadContext`] decides which VMs read the store.
 //! - [`RecentRejections`] tells which rejections a newer routing table proves wrong.
+//! - [`AgeBounds`] decides what a routing table of some age is good for.
 //! - [`StopSchedule`] decides what a stopping VM still accepts; [`LoopTicks`] since when it stops.
 //! - [`Fleet`] knows the other entry VMs: which to sync from, draw tokens from and return in
 //!   look-ups.
@@ -23,6 +24,7 @@
 mod backoff;
 mod balancer;
 mod fleet;
+mod freshness;
 mod known;
 mod limiter;
 mod load;
@@ -56,6 +58,7 @@
 
 pub use balancer::Balancer;
 pub use fleet::Fleet;
+pub use freshness::{AgeBounds, Conclusion, PROOF_TIMEOUT, PROOF_WAITERS_MAX, ProofContext};
 pub use known::{DueProbe, TargetTrust};
 pub use limiter::{PoolTimestamp, RateLimiter, TakeResult};
 pub use load_report::LoadReport;
--- a/src/steer/recent_rejections.rs
+++ b/src/steer/recent_rejections.rs
@@ -27,6 +27,11 @@
 }
 
 impl RejectionReason {
+    /// The reason with this word, if a newer routing table may prove it wrong.
+    pub fn parse(word: &str) -> Option<Self> {
+        [Self::NoRoute, Self::NoKey].into_iter().find(|reason| reason.as_str() == word)
+    }
+
     /// Its word in the log and the metrics.
     pub fn as_str(self) -> &'static str {
         match self {
