Front: a watch that timed out in a standstill says nothing of the store

Cause: after a process stood still, the timer of its open watch fires before the response is read, so the VM held the store for unreachable, and rejected what came (table-old, after 0 ms) instead of waiting for the next read. Change: news.rs reads again at once after a failed read that took 2 s longer than the wait of its watch; only once in a row, so that a store that fails slowly counts as unreachable.

--- a/src/front/news.rs
+++ b/src/front/news.rs
@@ -45,6 +45,9 @@
 const VMS_WATCH_WAIT: Duration = Duration::from_millis(5_000);
 /// Interval between a failed read and the next one.
 const READ_RETRY_INTERVAL: Duration = Duration::from_millis(400);
+/// A failed watch that took longer than its wait by this says nothing of the store: the process stood
+/// still, and its timer fired before it could read a response.
+const STANDSTILL_MIN: Duration = Duration::from_millis(2_000);
 /// Interval of the checks whether this VM must read the store.
 const ROLE_POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval of these checks until there is a routing table.
@@ -118,6 +121,7 @@
 /// Keeps one feed up to date from the store, whenever [`ReadContext::must_read`] holds.
 async fn follow_feed(front: Arc<Front>, feed: Feed) {
     let mut unreachable = false;
+    let mut stood_still = false;
     loop {
         let context = read_context(&front);
         let must_read = context.must_read(feed);
@@ -145,7 +149,13 @@
             }
             read => read,
         };
+        let overdue = clock::now().saturating_sub(sent) > watch_wait(feed) + STANDSTILL_MIN;
+        // Only once in a row, so that a store that fails slowly counts as unreachable.
+        stood_still = read.is_err() && overdue && !stood_still;
         match read {
+            Err(e) if stood_still => {
+                log::info!("news: reading feed {feed:?} again after a standstill: {e}.");
+            }
             Ok(delta) => {
                 if unreachable {
                     front.decision_log.log("regained", &store_dependency(feed));
