--- a/src/front/access.rs
+++ b/src/front/access.rs
@@ -101,11 +101,12 @@
         let now = clock::now();
         // Read before the table, so that it is never the age of a later table.
         let age = front.state.table_age(now).unwrap_or(Duration::MAX);
+        let superseded = front.state.is_superseded();
         let index = wait_for_index(front).await?;
         let found = question.look_up(front, &index, log);
         let refusal = match found.and_then(|grant| check_key_age(&bounds, grant, age)) {
             Ok(grant) => return Ok(grant),
-            Err(refusal) if bounds.allow(refusal.conclusion, age) => {
+            Err(refusal) if !superseded && bounds.allow(refusal.conclusion, age) => {
                 question.keep_rejection(front, &index, &refusal.error, log);
                 return Err(refusal.error);
             }
--- a/src/front/news.rs
+++ b/src/front/news.rs
@@ -45,8 +45,8 @@
 const VMS_WATCH_WAIT: Duration = Duration::from_millis(5_000);
 /// Interval between a failed read and the next one.
 const READ_RETRY_INTERVAL: Duration = Duration::from_millis(400);
-/// A failed watch that took longer than its wait by this says nothing of the store: the process stood
-/// still, and its timer fired before it could read a response.
+/// A failed watch that took longer than its wait by this may say nothing of the store: after a standstill of
+/// the process, the watch's timer fires before a response is read.
 const STANDSTILL_MIN: Duration = Duration::from_millis(2_000);
 /// Interval of the checks whether this VM must read the store.
 const ROLE_POLL_INTERVAL: Duration = Duration::from_millis(100);
@@ -340,9 +340,9 @@
         let now = clock::now();
         let liveness: Vec<_> = response.live.iter().filter_map(|w| w.to_liveness()).collect();
         self.state.lock().fleet.merge_liveness(now, liveness);
-        for feed in response.feeds {
-            self.contents.keep(&feed);
-            if let Some((feed, age, delta)) = feed.into_delta() {
+        for update in response.feeds {
+            if let Some((feed, age, delta)) = update.to_delta() {
+                self.contents.keep(&update);
                 self.apply_delta(feed, delta, sent.saturating_sub(age), from);
             }
         }
--- a/src/front/state.rs
+++ b/src/front/state.rs
@@ -2,6 +2,7 @@
 //! from them.
 
 use std::collections::{BTreeSet, HashMap};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -66,6 +67,8 @@
 pub(crate) struct FrontState {
     locked: Mutex<SharedState>,
     index: ArcSwapOption<TableIndex>,
+    /// True if a newer routing table than the one in force has come and can't be read.
+    superseded: AtomicBool,
     /// Notified when the routing table is received again, or proven to be unchanged.
     pub(crate) table_proof: Notify,
 }
@@ -90,6 +93,7 @@
         Self {
             locked: Mutex::new(locked),
             index: ArcSwapOption::empty(),
+            superseded: AtomicBool::new(false),
             table_proof: Notify::new(),
         }
     }
@@ -108,6 +112,11 @@
         self.lock().feeds[Feed::Table as usize].age(now)
     }
 
+    /// True if a newer routing table than the one in force has come and can't be read.
+    pub(crate) fn is_superseded(&self) -> bool {
+        self.superseded.load(Ordering::Relaxed)
+    }
+
     /// Applies an update of a feed that was current at `as_of`. Returns the routing table's version
     /// if the update brings a newer one.
     pub(crate) fn apply_delta(
@@ -149,7 +158,9 @@
     /// Puts the received routing table in force if it is newer than the present one.
     fn apply_table(&self, bodies: Vec<(String, Option<Bytes>)>) -> Option<Arc<TableIndex>> {
         let (_, body) = bodies.into_iter().find(|(name, _)| name == TABLE_NAME)?;
-        let table: Table = decode("config", TABLE_NAME, &body?)?;
+        let table: Option<Table> = body.and_then(|b| decode("config", TABLE_NAME, &b));
+        self.superseded.store(table.is_none(), Ordering::Relaxed);
+        let table = table?;
         let version = table.version;
         let current = self.index.load().as_ref().map(|i| i.table().version);
         if current.is_some_and(|c| version <= c) {
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -28,8 +28,8 @@
 const DIAL_INTERVAL: Duration = Duration::from_millis(200);
 /// Shortest time between the end of a session and the next try.
 const DIAL_PAUSE: Duration = Duration::from_millis(5);
-/// Longest time for which a call waits while frames go on arriving, unless its own timeout is longer.
-const TRANSFER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time after which a call is not waited for any longer because frames go on arriving.
+const TRANSFER_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Most frames that wait to be written.
 const QUEUE_FRAMES_MAX: usize = 4_096;
 
@@ -123,11 +123,21 @@
         }
     }
 
-    /// Calls the peer and waits at most `timeout` for its response, or longer while a frame is arriving.
+    /// Calls the peer and waits at most `timeout` for its response.
     ///
     /// # Errors
     /// [`PeerError::maybe_sent`] says whether the peer may have received the call.
     pub async fn call(&self, body: Body, timeout: Duration) -> Result<Body, PeerError> {
+        self.call_within(body, timeout, timeout).await
+    }
+
+    /// As [`Self::call`], but while a frame is arriving, the time starts anew until `transfer` is over.
+    async fn call_within(
+        &self,
+        body: Body,
+        timeout: Duration,
+        transfer: Duration,
+    ) -> Result<Body, PeerError> {
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
         let (sender, receiver) = oneshot::channel();
         let queue = self.shared.queue.lock().expect("queue lock").clone();
@@ -141,7 +151,7 @@
         }
         // The session ends when the last sender is dropped; a waiting call must not keep it open.
         drop(queue);
-        match self.await_response(receiver, timeout).await {
+        match self.await_response(receiver, timeout, transfer).await {
             Ok(Ok(body)) => {
                 pending.cancel = false;
                 Ok(body)
@@ -158,14 +168,15 @@
         }
     }
 
-    /// Waits for a response at most `timeout`. The time starts anew while a large frame is arriving, which
-    /// may be the response or in front of it.
+    /// Waits for a response at most `timeout`. Until `transfer` is over, the time starts anew while a large
+    /// frame is arriving, which may be the response or in front of it.
     async fn await_response(
         &self,
         mut receiver: oneshot::Receiver<Body>,
         timeout: Duration,
+        transfer: Duration,
     ) -> Result<Result<Body, RecvError>, Elapsed> {
-        let end = Instant::now() + TRANSFER_TIMEOUT;
+        let end = Instant::now() + transfer;
         loop {
             let received = self.shared.arrivals.received();
             let outcome = tokio::time::timeout(timeout, &mut receiver).await;
@@ -177,17 +188,17 @@
     }
 
     /// Calls the peer with a message that it may receive twice. Waits at most `timeout` for a session
-    /// and as long for the response. If the session ends meanwhile, repeats the call in the next one:
+    /// and as long for the response, or longer while a frame is arriving. If the session ends meanwhile, repeats the call in the next one:
     /// a lost connection does not mean that the peer has failed.
     ///
     /// # Errors
     /// Fails as [`Self::call`] does, and if the session ends twice.
     pub async fn call_idempotent(&self, body: Body, timeout: Duration) -> Result<Body, PeerError> {
         self.await_session(timeout).await;
-        match self.call(body.clone(), timeout).await {
+        match self.call_within(body.clone(), timeout, TRANSFER_TIMEOUT).await {
             Err(e) if e.session_ended => {
                 self.await_session(timeout).await;
-                self.call(body, timeout).await
+                self.call_within(body, timeout, TRANSFER_TIMEOUT).await
             }
             result => result,
         }
--- a/src/peer/compression.rs
+++ b/src/peer/compression.rs
@@ -12,7 +12,6 @@
 use flate2::read::DeflateDecoder;
 use flate2::write::DeflateEncoder;
 
-use super::FRAME_BYTES_MAX;
 use super::steering::{FeedUpdate, WireItem};
 
 /// Shortest content that is compressed, in bytes.
@@ -85,10 +84,12 @@
     encoder.finish().unwrap_or_default().into()
 }
 
-/// The content that was compressed; none if `bytes` are invalid or stand for more than a frame may hold.
-pub(super) fn decompress(bytes: &[u8]) -> Option<Bytes> {
+/// The content that was compressed, whose length is taken from `room`; none if `bytes` are invalid or stand
+/// for more than there is room for.
+pub(super) fn decompress(bytes: &[u8], room: &mut usize) -> Option<Bytes> {
     let mut content = Vec::new();
-    let limit = FRAME_BYTES_MAX as u64 + 1;
+    let limit = *room as u64 + 1;
     DeflateDecoder::new(bytes).take(limit).read_to_end(&mut content).ok()?;
-    (content.len() <= FRAME_BYTES_MAX).then(|| content.into())
+    *room = room.checked_sub(content.len())?;
+    Some(content.into())
 }
--- a/src/peer/steering.rs
+++ b/src/peer/steering.rs
@@ -5,6 +5,7 @@
 use prost::Message;
 use std::time::Duration;
 
+use super::FRAME_BYTES_MAX;
 use super::compression::decompress;
 use crate::model::{CustomerId, TargetId, VmId, ZoneId};
 use crate::steer::{
@@ -119,13 +120,14 @@
 }
 
 impl WireItem {
-    /// The converted message; none if its content can't be decompressed.
-    fn into_item(self) -> Option<Item> {
+    /// The converted message; none if its content can't be decompressed into `room` bytes, from which its
+    /// length is taken.
+    fn to_item(&self, room: &mut usize) -> Option<Item> {
         let body = match &self.deflated {
-            Some(bytes) => Some(decompress(bytes)?),
-            None => self.body,
+            Some(bytes) => Some(decompress(bytes, room)?),
+            None => self.body.clone(),
         };
-        Some(Item { name: self.name, revision: self.revision, body })
+        Some(Item { name: self.name.clone(), revision: self.revision, body })
     }
 }
 
@@ -286,9 +288,10 @@
     }
 
     /// The feed, the age of the sender's copy and the changes; none if the feed's number is unknown or a
-    /// content can't be decompressed.
-    pub fn into_delta(self) -> Option<(Feed, Duration, Delta)> {
-        let items = self.items.into_iter().map(WireItem::into_item).collect::<Option<_>>()?;
+    /// content can't be decompressed. All contents together may be as long as a frame.
+    pub fn to_delta(&self) -> Option<(Feed, Duration, Delta)> {
+        let mut room = FRAME_BYTES_MAX;
+        let items = self.items.iter().map(|i| i.to_item(&mut room)).collect::<Option<_>>()?;
         let delta = Delta { full: self.full, mark: self.mark, items };
         Some((Feed::from_number(self.feed)?, Duration::from_millis(self.age_ms), delta))
     }
--- a/tests/slow_links.rs
+++ b/tests/slow_links.rs
@@ -99,7 +99,7 @@
 fn call(client: &PeerClient, length: usize) -> impl Future<Output = Option<usize>> {
     let body = Body::ExplainRequest(ExplainRequest { request: length.to_string() });
     async move {
-        match client.call(body, TIMEOUT).await {
+        match client.call_idempotent(body, TIMEOUT).await {
             Ok(Body::ExplainResponse(response)) => Some(response.record.len()),
             _ => None,
         }
@@ -177,14 +177,20 @@
         let mut again = plain.clone();
         passed_on.compress(&mut again);
         assert_eq!(again, sent, "a VM passes on what it has received");
-        assert_eq!(sent.into_delta(), plain.into_delta(), "revision {revision}");
+        assert_eq!(sent.to_delta(), plain.to_delta(), "revision {revision}");
     }
     let mut small = update(7, b"{}");
     contents.compress(&mut small);
     assert_eq!(small, update(7, b"{}"), "small contents stay as they are");
 
+    let mut bomb = update(8, &vec![b'x'; 8 << 20]);
+    contents.compress(&mut bomb);
+    assert!(bomb.to_delta().is_some(), "one content within the bound");
+    bomb.items.push(bomb.items[0].clone());
+    assert_eq!(bomb.to_delta(), None, "contents that are too long together");
+
     let mut damaged = update(8, &[b'x'; 10_000]);
     contents.compress(&mut damaged);
     damaged.items[0].deflated = Some(Bytes::from_static(b"no deflate stream"));
-    assert_eq!(damaged.into_delta(), None, "a damaged content is no removal");
+    assert_eq!(damaged.to_delta(), None, "a damaged content is no removal");
 }
