Observability: what proves that a rejected request has not run, and responses that prove nothing

The line of a 408, 421, 429 or 503 says why the request has not run: never-sent, rejected-by-id (a target has rejected it with its id) or rejected-first (in the first response on a connection). A response that proves nothing is counted by cause (responses_unproved) and logged, bounded, with the id, the target and whether the connection had been used before (line unproved). Judging a head is a module of its own now, apart from reading the body.

--- a/src/front/attempt.rs
+++ b/src/front/attempt.rs
@@ -139,7 +139,7 @@
     let idempotent = admitted.route.idempotent;
     match outcome {
         AttemptOutcome::Responded(response) => return Next::Respond(response),
-        AttemptOutcome::NotRun { status } => {
+        AttemptOutcome::NotRun { status, .. } => {
             history.arrivals += 1;
             let mut state = front.state.lock();
             if status == StatusCode::MISDIRECTED_REQUEST {
@@ -356,9 +356,12 @@
         AttemptOutcome::Lost(_) => "lost",
     };
     front.metrics.record_attempt(pick.zone.as_str(), label);
+    if let AttemptOutcome::NotRun { proof, .. } = outcome {
+        log.proof = *proof;
+    }
     let detail = match outcome {
         AttemptOutcome::Responded(r) | AttemptOutcome::Failed(r) => r.status().to_string(),
-        AttemptOutcome::NotRun { status } => format!("not run ({status})"),
+        AttemptOutcome::NotRun { status, .. } => format!("not run ({status})"),
         AttemptOutcome::Unreached(cause) => format!("unreached ({cause})"),
         AttemptOutcome::Lost(cause) => format!("lost ({cause})"),
     };
--- a/src/front/decision_metrics.rs
+++ b/src/front/decision_metrics.rs
@@ -1,5 +1,5 @@
 //! Metrics of what the front decides by its routing table: how old the table was, and which requests
-//! were rejected for good. Also of what never became a request.
+//! were rejected for good. Also of what never became a request, and of responses that prove nothing.
 
 use std::time::Duration;
 
@@ -14,6 +14,7 @@
 
 use super::Front;
 use super::config::FleetBounds;
+use super::response_head::HeadFault;
 
 /// Upper bounds of the buckets of the routing table's age, in seconds.
 const TABLE_AGE_BUCKETS: [f64; 14] =
@@ -43,12 +44,19 @@
     cause: &'static str,
 }
 
+/// Labels of the counter of responses that prove nothing about their requests.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct UnprovedLabels {
+    cause: &'static str,
+}
+
 /// Metrics of the decisions about requests.
 pub(crate) struct DecisionMetrics {
     table_age: Histogram,
     final_rejections: Family<RejectionLabels, Counter>,
     overturned: Family<OverturnedLabels, Counter>,
     unparsed: Family<UnparsedLabels, Counter>,
+    unproved: Family<UnprovedLabels, Counter>,
 }
 
 impl DecisionMetrics {
@@ -58,6 +66,7 @@
         let final_rejections = Family::default();
         let overturned = Family::default();
         let unparsed = Family::default();
+        let unproved = Family::default();
         let help = "Age of the routing table when a request was decided by it";
         registry.register("decision_table_age_seconds", help, table_age.clone());
         let help = "Final rejections by reason, and whether the routing table was too old for them";
@@ -66,7 +75,9 @@
         registry.register("rejections_overturned", help, overturned.clone());
         let help = "Connections that ended with a head that could not be parsed, by cause";
         registry.register("requests_unparsed", help, unparsed.clone());
-        Self { table_age, final_rejections, overturned, unparsed }
+        let help = "Responses of targets that prove nothing about their requests, by cause";
+        registry.register("responses_unproved", help, unproved.clone());
+        Self { table_age, final_rejections, overturned, unparsed, unproved }
     }
 
     /// Records that a request is decided by a routing table of this age.
@@ -85,6 +96,11 @@
         self.unparsed.get_or_create(&UnparsedLabels { cause: cause.as_str() }).inc();
     }
 
+    /// Records a response that proves nothing about its request.
+    pub(crate) fn record_unproved(&self, fault: HeadFault) {
+        self.unproved.get_or_create(&UnprovedLabels { cause: fault.as_str() }).inc();
+    }
+
     fn record_rejection(&self, labels: RejectionLabels) {
         self.final_rejections.get_or_create(&labels).inc();
     }
--- a/src/front/exchange.rs
+++ b/src/front/exchange.rs
@@ -11,14 +11,16 @@
 use hyper::body::Frame;
 
 use crate::clock;
-use crate::net::{full_body, header_text};
+use crate::net::{MeteredBody, full_body, header_text};
 use crate::steer::{LoadReport, Pick};
 
 use super::Front;
 use super::notices::read_notice;
-use super::outbound::SendFailure;
+use super::outbound::{Lease, SendFailure};
 use super::request::{Admitted, RequestBody, path_and_query};
-use super::response::{AttemptOutcome, forwarded_headers, read_response};
+use super::response::{AttemptOutcome, forwarded_headers, read_rejection, read_response};
+use super::response_head::{HeadOrigin, HeadVerdict, judge_head};
+use super::unproved::UnprovedRecord;
 
 /// Set once a load header without a valid pace has been logged.
 static NO_PACE_LOGGED: Once = Once::new();
@@ -52,16 +54,7 @@
         Err(cause) => return AttemptOutcome::Unreached(cause),
     };
     match front.target_client.send(pick.addr, request, true).await {
-        Ok((response, lease)) => {
-            note_target(front, admitted, pick, &response);
-            let load = reported_load(front, response.headers());
-            let outcome = read_response(&front.headers, admitted, response, lease).await;
-            // A lost response may be another request's.
-            if let (Some(load), false) = (load, matches!(outcome, AttemptOutcome::Lost(_))) {
-                front.state.lock().balancer.record_report(clock::now(), pick, load);
-            }
-            outcome
-        }
+        Ok((response, lease)) => read(front, admitted, pick, response, lease).await,
         Err(SendFailure { maybe_sent: false, step, peer, cause }) => {
             AttemptOutcome::Unreached(format!("{step} at {peer}: {cause}"))
         }
@@ -69,6 +62,38 @@
     }
 }
 
+/// Judges a response by its head, and reads it.
+async fn read(
+    front: &Front,
+    admitted: &Admitted,
+    pick: &Pick,
+    response: Response<MeteredBody>,
+    lease: Lease,
+) -> AttemptOutcome {
+    let (head, body) = response.into_parts();
+    let origin = HeadOrigin { reused: lease.is_reused() };
+    let verdict = judge_head(&front.headers, &admitted.id, &head, origin);
+    let response = Response::from_parts(head, body);
+    if let HeadVerdict::Unproved(fault) = verdict {
+        let status = response.status();
+        let record = UnprovedRecord::new(&admitted.id, pick.id.as_str(), status, fault, origin);
+        front.report_unproved(fault, &record);
+        return AttemptOutcome::Lost(format!(
+            "the response ({status}) can't be passed on: {fault}"
+        ));
+    }
+    note_target(front, admitted, pick, &response);
+    let load = reported_load(front, response.headers());
+    let outcome = match verdict {
+        HeadVerdict::NotRun(proof) => read_rejection(response, proof, lease).await,
+        _ => read_response(admitted, response, lease).await,
+    };
+    if let (Some(load), false) = (load, matches!(outcome, AttemptOutcome::Lost(_))) {
+        front.state.lock().balancer.record_report(clock::now(), pick, load);
+    }
+    outcome
+}
+
 /// Records what a target says of itself, if the response is known to be the request's.
 fn note_target<B>(front: &Front, admitted: &Admitted, pick: &Pick, response: &Response<B>) {
     let headers = response.headers();
--- a/src/front/ingress.rs
+++ b/src/front/ingress.rs
@@ -27,6 +27,7 @@
 use super::metrics::RequestLabels;
 use super::request::{Admitted, RequestBody, RequestError, RequestLog, path_and_query};
 use super::request_head::affinity_key;
+use super::response_head::promises_not_run;
 use super::{Front, access, admission, attempt, in_flight};
 
 /// Longest request body that is buffered before it is forwarded, in bytes. A longer one is streamed,
@@ -47,6 +48,9 @@
     detail: &'a str,
     version: u64,
     table_age_ms: u64,
+    /// Why it has not run, if the status promises that.
+    #[serde(skip_serializing_if = "str::is_empty")]
+    proof: &'a str,
     targets: &'a str,
     ms: u64,
     /// How long it waited for its turn on its connection, in milliseconds.
@@ -309,6 +313,7 @@
             detail,
             version: self.state.index().map_or(0, |i| i.table().version),
             table_age_ms: age.as_millis() as u64,
+            proof: if promises_not_run(status) { log.proof.as_str() } else { "" },
             targets: &log.targets,
             ms: took.as_millis() as u64,
             wait_ms: log.wait.as_millis() as u64,
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -29,11 +29,13 @@
 mod request;
 mod request_head;
 mod response;
+mod response_head;
 mod run;
 mod sessions;
 mod shared_load;
 mod source;
 mod state;
+mod unproved;
 
 use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex};
--- a/src/front/request.rs
+++ b/src/front/request.rs
@@ -12,6 +12,7 @@
 
 use super::admission::HeldToken;
 use super::in_flight::InFlightGuard;
+use super::response_head::NotRunProof;
 
 /// `Retry-After` of a 503 response.
 const RETRY_AFTER_DEFAULT: Duration = Duration::from_millis(400);
@@ -117,6 +118,8 @@
     pub(crate) targets: String,
     /// True while a target may have run the request.
     pub(crate) maybe_run: bool,
+    /// Why it has not run, if it is rejected.
+    pub(crate) proof: NotRunProof,
     /// How long it waited for its turn on its connection.
     pub(crate) wait: Duration,
     pub(crate) in_flight: InFlightGuard,
--- a/src/front/response.rs
+++ b/src/front/response.rs
@@ -1,4 +1,4 @@
-//! Reads a target's response, classifies the attempt's outcome and prepares what is forwarded.
+//! Reads a target's response and prepares what is forwarded.
 
 use std::io::ErrorKind;
 use std::pin::Pin;
@@ -8,19 +8,18 @@
 use bytes::Bytes;
 use gotham::helpers::http::Body;
 use http::header::{PROXY_AUTHENTICATE, PROXY_AUTHORIZATION};
-use http::response::Parts;
 use http::{HeaderMap, HeaderName, Response, StatusCode, Version};
 use http_body_util::BodyExt;
 use hyper::body::{Frame, SizeHint};
 use tokio::time::Sleep;
 
 use crate::clock;
-use crate::net::{MeteredBody, connection_options, full_body, header_text, is_hop_by_hop};
+use crate::net::{MeteredBody, connection_options, full_body, is_hop_by_hop};
 
-use super::Headers;
 use super::body_buffer::{ReadEnd, read_start};
 use super::outbound::Lease;
 use super::request::Admitted;
+use super::response_head::NotRunProof;
 
 /// Longest response body that is buffered before it is forwarded, in bytes; longer ones are
 /// streamed, and so is what there is no room for.
@@ -38,43 +37,46 @@
     /// A response to forward.
     Responded(Response<Body>),
     /// The target has not run the request.
-    NotRun { status: StatusCode },
+    NotRun { status: StatusCode, proof: NotRunProof },
     /// A 5xx response, to be forwarded unless the request is retried.
     Failed(Response<Body>),
     /// No byte of the request has reached the target.
     Unreached(String),
-    /// The request may have run, but there is no valid response.
+    /// The request may have run, but there is no response that may be forwarded.
     Lost(String),
 }
 
-/// Reads a response and classifies it.
+/// Reads a rejection to its end, so that its connection can be used again.
+pub(crate) async fn read_rejection(
+    response: Response<MeteredBody>,
+    proof: NotRunProof,
+    lease: Lease,
+) -> AttemptOutcome {
+    let status = response.status();
+    let mut body = response.into_body();
+    match read_start(&mut body, BUFFERED_RESPONSE_MAX, lease.hold()).await {
+        Ok(start) if start.end == ReadEnd::Whole => lease.release(),
+        Ok(_) => {}
+        Err(e) => return AttemptOutcome::Lost(format!("the rejection was aborted: {e}")),
+    }
+    AttemptOutcome::NotRun { status, proof }
+}
+
+/// Reads the response of a target that has run the request.
 pub(crate) async fn read_response(
-    names: &Headers,
     admitted: &Admitted,
     response: Response<MeteredBody>,
     lease: Lease,
 ) -> AttemptOutcome {
     let (mut head, mut body) = response.into_parts();
-    let not_run = match classify_head(names, &admitted.id, &head, lease.is_reused()) {
-        HeadKind::Response => false,
-        HeadKind::Rejection => true,
-        HeadKind::Foreign(cause) => return AttemptOutcome::Lost(cause),
-    };
     head.headers = forwarded_headers(&head.headers);
     head.version = Version::HTTP_11;
     let start = match read_start(&mut body, BUFFERED_RESPONSE_MAX, lease.hold()).await {
         Ok(start) => start,
         Err(e) => return AttemptOutcome::Lost(format!("the response was aborted: {e}")),
     };
-    let complete = start.end == ReadEnd::Whole;
-    if not_run {
-        if complete {
-            lease.release();
-        }
-        return AttemptOutcome::NotRun { status: head.status };
-    }
     let server_error = head.status.is_server_error();
-    let body = if complete {
+    let body = if start.end == ReadEnd::Whole {
         lease.release();
         full_body(start.into_bytes())
     } else {
@@ -91,41 +93,6 @@
     }
 }
 
-/// What the head of a response says about the request.
-enum HeadKind {
-    /// The target has run the request.
-    Response,
-    /// The target has not run the request.
-    Rejection,
-    /// It may belong to another request, so it says nothing.
-    Foreign(String),
-}
-
-/// Classifies a response's head. Late bytes on a connection that was used before may look like a
-/// rejection; without the request's id, that counts only as the first response on a connection.
-fn classify_head(names: &Headers, id: &str, head: &Parts, reused: bool) -> HeadKind {
-    let echoed = header_text(&head.headers, &names.attempt);
-    if echoed.is_some_and(|echoed| echoed != id) {
-        return HeadKind::Foreign("the response has another request's id".to_owned());
-    }
-    // A 421 comes from another process at the target's address, so the target has not run the
-    // request.
-    let not_run =
-        head.headers.contains_key(&names.not_run) || head.status == StatusCode::MISDIRECTED_REQUEST;
-    let proved = match not_run {
-        true => echoed.is_some() || !reused,
-        false => echoed.is_some() && head.headers.contains_key(&names.seal),
-    };
-    match (proved, not_run) {
-        (true, true) => HeadKind::Rejection,
-        (true, false) => HeadKind::Response,
-        (false, _) => HeadKind::Foreign(format!(
-            "the response ({}) has no attempt id or no seal",
-            head.status
-        )),
-    }
-}
-
 /// The headers to forward: all but the hop-by-hop ones.
 pub(crate) fn forwarded_headers(headers: &HeaderMap) -> HeaderMap {
     let listed = connection_options(headers);
--- /dev/null
+++ b/src/front/response_head.rs
@@ -0,0 +1,126 @@
+//! What the head of a target's response proves about its request. A caller is told that its request has
+//! not run only by such a proof; without one, the request may have run.
+
+use http::StatusCode;
+use http::response::Parts;
+
+use crate::net::header_text;
+
+use super::Headers;
+
+/// What the head of a response proves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum HeadVerdict {
+    /// The target has run the request, and this is its response.
+    Ran,
+    /// The target has not run the request.
+    NotRun(NotRunProof),
+    /// Nothing, so the request may have run.
+    Unproved(HeadFault),
+}
+
+/// Why a request that is rejected has certainly not run.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum NotRunProof {
+    /// No byte of it has been sent to a target.
+    #[default]
+    NeverSent,
+    /// The last target that got it has rejected it, with its id.
+    RejectedById,
+    /// The last target that got it has rejected it in the first response on a connection.
+    RejectedFirst,
+}
+
+impl NotRunProof {
+    /// The proof as it stands in logs.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::NeverSent => "never-sent",
+            Self::RejectedById => "rejected-by-id",
+            Self::RejectedFirst => "rejected-first",
+        }
+    }
+}
+
+/// Why the head of a response proves nothing about its request, or may not be passed on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub(crate) enum HeadFault {
+    #[error("it has another request's id")]
+    OtherId,
+    #[error("it has no attempt id")]
+    NoId,
+    #[error("it has no seal")]
+    NoSeal,
+}
+
+impl HeadFault {
+    /// The fault as it stands in logs and metrics.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::OtherId => "other-id",
+            Self::NoId => "no-id",
+            Self::NoSeal => "no-seal",
+        }
+    }
+}
+
+/// Where the head of a response came.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct HeadOrigin {
+    /// True if an earlier response came on the connection, so that late bytes may precede this one.
+    pub(crate) reused: bool,
+}
+
+/// True if a response with this status promises that its request has not run.
+pub(crate) fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
+/// Tells what a response's head proves about the request with this `id`.
+pub(crate) fn judge_head(
+    names: &Headers,
+    id: &str,
+    head: &Parts,
+    origin: HeadOrigin,
+) -> HeadVerdict {
+    match find_fault(names, id, head, origin) {
+        Some(fault) => HeadVerdict::Unproved(fault),
+        None if !is_rejection(names, head) => HeadVerdict::Ran,
+        None if head.headers.contains_key(&names.attempt) => {
+            HeadVerdict::NotRun(NotRunProof::RejectedById)
+        }
+        None => HeadVerdict::NotRun(NotRunProof::RejectedFirst),
+    }
+}
+
+fn find_fault(
+    names: &Headers,
+    id: &str,
+    head: &Parts,
+    HeadOrigin { reused }: HeadOrigin,
+) -> Option<HeadFault> {
+    let headers = &head.headers;
+    let echoed = header_text(headers, &names.attempt);
+    if echoed.is_some_and(|echoed| echoed != id) {
+        return Some(HeadFault::OtherId);
+    }
+    // Late bytes may look like a rejection.
+    let needs_id = reused || !is_rejection(names, head);
+    if echoed.is_none() && needs_id {
+        return Some(HeadFault::NoId);
+    }
+    let needs_seal = !is_rejection(names, head) && !headers.contains_key(&names.seal);
+    needs_seal.then_some(HeadFault::NoSeal)
+}
+
+/// True if a target says that it has not run the request. A 421 comes from another process at the
+/// target's address.
+fn is_rejection(names: &Headers, head: &Parts) -> bool {
+    head.headers.contains_key(&names.not_run) || head.status == StatusCode::MISDIRECTED_REQUEST
+}
