Front: two responses that are read as one prove nothing

Callers saw: 503 or 429 for requests that a target had run, and sealed responses with another status than the target's; some requests that may run once ran twice. Cause: a target breaks off the head of an extra response. The head of the next response becomes the rest of it, so that the status or the not-executed header is the extra one's, the id and the seal are the request's own. Why it works: what is broken off in a head is always followed by the status line of the next one. hyper rejects it everywhere but in a value or the reason, so the connection's bytes are scanned for a second status line up to the end of the head, also a reason that hyper drops. Such a response counts as lost: 502, or a retry if idempotent. Ruled out: a check of the parsed head, from which hyper drops a reason with other bytes than ASCII.

--- a/src/front/exchange.rs
+++ b/src/front/exchange.rs
@@ -71,7 +71,7 @@
     lease: Lease,
 ) -> AttemptOutcome {
     let (head, body) = response.into_parts();
-    let origin = HeadOrigin { reused: lease.is_reused() };
+    let origin = HeadOrigin { reused: lease.is_reused(), spliced: body.meter.is_spliced() };
     let verdict = judge_head(&front.headers, &admitted.id, &head, origin);
     let response = Response::from_parts(head, body);
     if let HeadVerdict::Unproved(fault) = verdict {
--- a/src/front/outbound.rs
+++ b/src/front/outbound.rs
@@ -217,6 +217,7 @@
         if let Err(e) = conn.sender.ready().await {
             return Err((fail(e.to_string(), false), Some(Box::new(request))));
         }
+        conn.meter.expect_head();
         match conn.sender.try_send_request(request).await {
             Ok(response) => {
                 conn.meter.reset();
--- a/src/front/probes.rs
+++ b/src/front/probes.rs
@@ -64,6 +64,9 @@
         .map_err(|e| e.to_string())?;
     let (response, _lease) =
         front.target_client.send(*addr, request, false).await.map_err(|e| e.to_string())?;
+    if response.body().meter.is_spliced() {
+        return Err("two responses came as one".to_owned());
+    }
     let headers = response.headers();
     if header_text(headers, &front.headers.instance) != Some(id.as_str()) {
         return Err("another target responded".to_owned());
--- a/src/front/response_head.rs
+++ b/src/front/response_head.rs
@@ -45,6 +45,8 @@
 /// Why the head of a response proves nothing about its request, or may not be passed on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub(crate) enum HeadFault {
+    #[error("its head holds the status line of another response")]
+    Spliced,
     #[error("it has another request's id")]
     OtherId,
     #[error("it has no attempt id")]
@@ -57,6 +59,7 @@
     /// The fault as it stands in logs and metrics.
     pub(crate) fn as_str(self) -> &'static str {
         match self {
+            Self::Spliced => "spliced",
             Self::OtherId => "other-id",
             Self::NoId => "no-id",
             Self::NoSeal => "no-seal",
@@ -69,6 +72,8 @@
 pub(crate) struct HeadOrigin {
     /// True if an earlier response came on the connection, so that late bytes may precede this one.
     pub(crate) reused: bool,
+    /// True if the head holds the status line of another response.
+    pub(crate) spliced: bool,
 }
 
 /// True if a response with this status promises that its request has not run.
@@ -103,9 +108,12 @@
     names: &Headers,
     id: &str,
     head: &Parts,
-    HeadOrigin { reused }: HeadOrigin,
+    HeadOrigin { reused, spliced }: HeadOrigin,
 ) -> Option<HeadFault> {
     let headers = &head.headers;
+    if spliced {
+        return Some(HeadFault::Spliced);
+    }
     let echoed = header_text(headers, &names.attempt);
     if echoed.is_some_and(|echoed| echoed != id) {
         return Some(HeadFault::OtherId);
--- a/src/front/unproved.rs
+++ b/src/front/unproved.rs
@@ -26,7 +26,7 @@
         fault: HeadFault,
         origin: HeadOrigin,
     ) -> Self {
-        let HeadOrigin { reused } = origin;
+        let HeadOrigin { reused, .. } = origin;
         Self { id, target, status: status.as_u16(), cause: fault.as_str(), reused }
     }
 }
--- a/src/net/metered.rs
+++ b/src/net/metered.rs
@@ -1,5 +1,6 @@
 //! A connection that fails when its peer sends many bytes of which no part of a response comes: a
-//! head or a chunk size without end, or interim responses without end.
+//! head or a chunk size without end, or interim responses without end. It also scans the heads of
+//! responses.
 
 use std::io::{Error, ErrorKind, IoSlice, Result};
 use std::pin::Pin;
@@ -15,6 +16,7 @@
 use tokio::time::Sleep;
 
 use super::byte_budget::{ByteBudget, HeldBytes, HoldKind, UNCOUNTED_BYTES};
+use super::head_scan::HeadScan;
 
 /// Most bytes that may be read without a part of a response; larger than the read buffer, since a
 /// part may come from all of it.
@@ -39,6 +41,8 @@
     largest: usize,
     /// Counts it beyond [`UNCOUNTED_BYTES`].
     held: HeldBytes,
+    /// The head of the response that is expected or was read last.
+    head: HeadScan,
 }
 
 /// A meter whose connection's buffer counts towards no budget.
@@ -51,7 +55,19 @@
 impl ReadMeter {
     /// A meter that counts towards the budget of `held`.
     pub(crate) fn new(held: HeldBytes) -> Self {
-        Self(Arc::new(Mutex::new(MeterState { unparsed: 0, largest: 0, held })))
+        let head = HeadScan::default();
+        Self(Arc::new(Mutex::new(MeterState { unparsed: 0, largest: 0, held, head })))
+    }
+
+    /// Scans what is read from now on as the head of a response. Call it for a connection in use again, when
+    /// the response before has been read in full.
+    pub(crate) fn expect_head(&self) {
+        self.lock().head = HeadScan::default();
+    }
+
+    /// True if the head of the response holds the status line of another one.
+    pub(crate) fn is_spliced(&self) -> bool {
+        self.lock().head.is_spliced()
     }
 
     /// Records that a part of a response has come: its head, or a piece of its body.
@@ -89,12 +105,13 @@
         SHORT_READ_BYTES.min(UNCOUNTED_BYTES.saturating_sub(self.unparsed))
     }
 
-    /// Records that `bytes` were read.
+    /// Records the bytes that were read.
     ///
     /// # Errors
     /// Fails if no part of a response has come for too many bytes.
-    fn add(&mut self, bytes: usize) -> Result<()> {
-        self.unparsed += bytes;
+    fn add(&mut self, bytes: &[u8]) -> Result<()> {
+        self.head.scan(bytes);
+        self.unparsed += bytes.len();
         match self.unparsed <= UNPARSED_BYTES_MAX {
             true => Ok(()),
             false => {
@@ -204,7 +221,7 @@
             true => Pin::new(&mut self.stream).poll_read(cx, buf),
             false => self.poll_read_short(cx, room, buf),
         };
-        self.meter.lock().add(buf.filled().len() - before)?;
+        self.meter.lock().add(&buf.filled()[before..])?;
         result
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,6 +4,7 @@
 mod byte_budget;
 mod client;
 mod connection;
+mod head_scan;
 mod headers;
 mod linger;
 mod metered;
@@ -22,6 +23,7 @@
 pub use byte_budget::{ByteBudget, HeldBytes, HoldKind};
 pub use client::{HttpClient, HttpError, ResponseTimeouts};
 pub use connection::ConnectionLimits;
+pub use head_scan::HeadScan;
 pub(crate) use headers::{connection_options, header_text, is_hop_by_hop};
 pub(crate) use metered::{MeteredBody, MeteredStream, READ_BUFFER_MAX, ReadMeter};
 pub use port::{PortState, check_port};
