Front: a response that contradicts itself proves nothing, and no status of a target makes a false promise

Callers saw: 408, 429 or 503 for requests that had run, since their targets answered so themselves, or said both that the request had run (the seal) and that it had not. Cause: a rejection needed the request's id only; a sealed response was passed on whatever its status promises. Why it works: a rejection counts without a seal and with an error's status only; a header that may come once comes once; a sealed 408, 421, 429 or 503 without the not-executed header is not passed on: the request counts as possibly run, 502 or a retry. The promise goes before the unchanged status, since callers act on it, whatever their route.

--- a/src/front/exchange.rs
+++ b/src/front/exchange.rs
@@ -78,6 +78,9 @@
         let status = response.status();
         let record = UnprovedRecord::new(&admitted.id, pick.id.as_str(), status, fault, origin);
         front.report_unproved(fault, &record);
+        if fault.is_own() {
+            note_target(front, admitted, pick, &response);
+        }
         return AttemptOutcome::Lost(format!(
             "the response ({status}) can't be passed on: {fault}"
         ));
--- a/src/front/response_head.rs
+++ b/src/front/response_head.rs
@@ -1,8 +1,8 @@
 //! What the head of a target's response proves about its request. A caller is told that its request has
 //! not run only by such a proof; without one, the request may have run.
 
-use http::StatusCode;
 use http::response::Parts;
+use http::{HeaderMap, HeaderName, StatusCode};
 
 use crate::net::header_text;
 
@@ -47,12 +47,19 @@
 pub(crate) enum HeadFault {
     #[error("its head holds the status line of another response")]
     Spliced,
+    #[error("it has a header twice that may come once")]
+    Repeated,
     #[error("it has another request's id")]
     OtherId,
     #[error("it has no attempt id")]
     NoId,
     #[error("it has no seal")]
     NoSeal,
+    #[error("it says both that the request has run and that it has not")]
+    Contradictory,
+    /// The request has run, so the status can't be passed on.
+    #[error("its status promises that the request has not run, and the target doesn't say so")]
+    FalsePromise,
 }
 
 impl HeadFault {
@@ -60,11 +67,19 @@
     pub(crate) fn as_str(self) -> &'static str {
         match self {
             Self::Spliced => "spliced",
+            Self::Repeated => "repeated",
             Self::OtherId => "other-id",
             Self::NoId => "no-id",
             Self::NoSeal => "no-seal",
+            Self::Contradictory => "contradictory",
+            Self::FalsePromise => "false-promise",
         }
     }
+
+    /// True if the response is the request's own all the same, so that the target's notices count.
+    pub(crate) fn is_own(self) -> bool {
+        self == Self::FalsePromise
+    }
 }
 
 /// Where the head of a response came.
@@ -114,17 +129,36 @@
     if spliced {
         return Some(HeadFault::Spliced);
     }
-    let echoed = header_text(headers, &names.attempt);
-    if echoed.is_some_and(|echoed| echoed != id) {
+    if [&names.attempt, &names.seal].into_iter().any(|name| is_repeated(headers, name)) {
+        return Some(HeadFault::Repeated);
+    }
+    let has_id = headers.contains_key(&names.attempt);
+    if has_id && header_text(headers, &names.attempt) != Some(id) {
         return Some(HeadFault::OtherId);
     }
-    // Late bytes may look like a rejection.
-    let needs_id = reused || !is_rejection(names, head);
-    if echoed.is_none() && needs_id {
+    let sealed = headers.contains_key(&names.seal);
+    if is_rejection(names, head) {
+        return find_rejection_fault(names, head, has_id || !reused);
+    }
+    match (has_id, sealed) {
+        (false, _) => Some(HeadFault::NoId),
+        (true, false) => Some(HeadFault::NoSeal),
+        (true, true) => promises_not_run(head.status).then_some(HeadFault::FalsePromise),
+    }
+}
+
+/// `own` is true if the head is known to answer the request; late bytes may look like a rejection.
+fn find_rejection_fault(names: &Headers, head: &Parts, own: bool) -> Option<HeadFault> {
+    let sealed = head.headers.contains_key(&names.seal);
+    let says_not_run = head.headers.contains_key(&names.not_run);
+    let is_error = head.status.is_client_error() || head.status.is_server_error();
+    if !own {
         return Some(HeadFault::NoId);
     }
-    let needs_seal = !is_rejection(names, head) && !headers.contains_key(&names.seal);
-    needs_seal.then_some(HeadFault::NoSeal)
+    if !is_error || (sealed && says_not_run) {
+        return Some(HeadFault::Contradictory);
+    }
+    sealed.then_some(HeadFault::FalsePromise)
 }
 
 /// True if a target says that it has not run the request. A 421 comes from another process at the
@@ -132,3 +166,7 @@
 fn is_rejection(names: &Headers, head: &Parts) -> bool {
     head.headers.contains_key(&names.not_run) || head.status == StatusCode::MISDIRECTED_REQUEST
 }
+
+fn is_repeated(headers: &HeaderMap, name: &HeaderName) -> bool {
+    headers.get_all(name).iter().nth(1).is_some()
+}
