Front: a retry at the same address comes on a new connection

Callers could see: 503 for a request that ran, or two runs. Cause: a request that was rejected is sent again on the kept connection of the same address, where one target has replaced another; a late copy of the first rejection bears the request's id, and was taken for the second attempt's. Evidence: the test fails on the code before (2 requests ran and were rejected), and passes with this change. Why it works: on a connection that has not carried the request, its id proves that a response is its own.

--- a/src/front/attempt.rs
+++ b/src/front/attempt.rs
@@ -1,6 +1,7 @@
 //! Sends one request to targets: picks a target for each attempt, and decides whether to retry.
 
 use std::fmt::Write;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -32,8 +33,9 @@
 /// Results of a request's earlier attempts.
 #[derive(Default)]
 struct History {
-    /// Targets of the earlier attempts.
+    /// Targets of the earlier attempts, and their addresses.
     avoid: Vec<TargetId>,
+    addrs: Vec<SocketAddr>,
     /// Attempts that reached a target, whether it ran the request or not.
     arrivals: u32,
     /// Attempts that reached no target.
@@ -69,7 +71,8 @@
             return Err(history.error("body-gone", "the streamed body can't be sent again"));
         };
         front.metrics.record_choice(&pick);
-        let outcome = attempt(front, &admitted, &pick, body, log).await?;
+        let reuse = history.may_reuse(&pick);
+        let outcome = attempt(front, &admitted, &pick, body, reuse, log).await?;
         let next = next_step(front, &admitted, &pick, outcome, &mut history);
         log.maybe_run = history.maybe_run;
         match next {
@@ -92,6 +95,7 @@
     admitted: &Admitted,
     pick: &Pick,
     body: Body,
+    reuse: bool,
     log: &mut RequestLog,
 ) -> Result<AttemptOutcome, RequestError> {
     // Written before sending, since a timeout or the caller's disconnect ends this function early.
@@ -105,7 +109,7 @@
     // Before sending: a stop of this VM, too, ends this function early.
     log.maybe_run = true;
     let left = admitted.deadline.saturating_sub(clock::now());
-    let Ok(outcome) = timeout(left, send(front, admitted, pick, body)).await else {
+    let Ok(outcome) = timeout(left, send(front, admitted, pick, body, reuse)).await else {
         guard.abort(true);
         let timeout_ms = admitted.route.timeout_ms;
         let detail = format!(
@@ -177,10 +181,17 @@
         }
     }
     history.avoid.push(pick.id.clone());
+    history.addrs.push(pick.addr);
     Next::Retry
 }
 
 impl History {
+    /// True if a connection in use again may carry the request: a late copy of the response to an earlier
+    /// attempt would bear its id.
+    fn may_reuse(&self, pick: &Pick) -> bool {
+        !self.addrs.contains(&pick.addr)
+    }
+
     /// The target of a choice.
     ///
     /// # Errors
--- a/src/front/exchange.rs
+++ b/src/front/exchange.rs
@@ -42,18 +42,19 @@
     }
 }
 
-/// Sends the request to the chosen target and reads the response.
+/// Sends the request to the chosen target and reads the response. If `reuse`, prefers an idle connection.
 pub(super) async fn send(
     front: &Front,
     admitted: &Admitted,
     pick: &Pick,
     body: Body,
+    reuse: bool,
 ) -> AttemptOutcome {
     let request = match build_request(front, admitted, pick, body) {
         Ok(request) => request,
         Err(cause) => return AttemptOutcome::Unreached(cause),
     };
-    match front.target_client.send(pick.addr, request, true).await {
+    match front.target_client.send(pick.addr, request, reuse).await {
         Ok((response, lease)) => read(front, admitted, pick, response, lease).await,
         Err(SendFailure { maybe_sent: false, step, peer, cause }) => {
             AttemptOutcome::Unreached(format!("{step} at {peer}: {cause}"))
