--- a/src/front/response_head.rs
+++ b/src/front/response_head.rs
@@ -82,7 +82,7 @@
     }
 }
 
-/// Where the head of a response came.
+/// What is known of the connection on which a head came.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct HeadOrigin {
     /// True if an earlier response came on the connection, so that late bytes may precede this one.
