Net: a stopping server doesn't take the rest of a head for a request of its own

What callers saw: the head of a request that comes in two parts, the first of them together with an earlier request, while the VM stops.

Cause: a stopping server ends an idle connection by taking its stream back from hyper, and serves it anew if the kernel holds bytes by then. Whether the start of a head had been read was known by the progress only, and that counts the connection as at a boundary once a request has been answered, also if bytes behind that request came in the same read. hyper's buffer and what is read ahead were dropped without a look.

Why it works: the stream is served anew only if neither hyper nor the session holds a byte, so that what follows starts at a boundary; else the connection closes without having read a whole request, as it did before for a start that came in a read of its own.

--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -101,7 +101,7 @@
 }
 
 /// Serves until the connection ends, or until the server has stopped and the connection is idle. Then
-/// returns its stream.
+/// returns its stream, unless the start of a request has been read: what follows is no request.
 async fn serve_until_idle<S>(
     stream: S,
     from: SocketAddr,
@@ -147,14 +147,18 @@
         }
     }
     // Also drops what is left of the session, and with it all tasks.
-    let stream = connection.into_parts().io.into_inner().into_inner().into_inner();
+    let parts = connection.into_parts();
+    let stream = parts.io.into_inner();
+    let at_boundary = parts.read_buf.is_empty() && !stream.has_read_ahead();
+    let stream = stream.into_inner().into_inner();
     let progress = *progress.lock();
     let quiet = progress.is_quiet(Instant::now());
     if may_have_responded(&outcome) && !quiet {
         linger::close(stream).await;
         return None;
     }
-    (was_idle && outcome.is_ok() && !progress.is_receiving()).then_some(stream)
+    let may_go_on = was_idle && outcome.is_ok() && at_boundary && !progress.is_receiving();
+    may_go_on.then_some(stream)
 }
 
 /// Returns when the listener of a stopping server has closed and the connection is idle: its client has had
--- a/src/net/read_ahead/buffer.rs
+++ b/src/net/read_ahead/buffer.rs
@@ -70,6 +70,11 @@
         &self.bytes[self.taken.min(end)..end]
     }
 
+    /// True if there are bytes that the server has not taken.
+    pub(super) fn has_untaken(&self) -> bool {
+        self.taken < self.bytes.len()
+    }
+
     /// Records that the server has taken `count` bytes.
     pub(super) fn take(&mut self, count: usize) {
         self.taken += count;
--- a/src/net/read_ahead/stream.rs
+++ b/src/net/read_ahead/stream.rs
@@ -73,6 +73,11 @@
     pub(crate) fn into_inner(self) -> S {
         self.stream
     }
+
+    /// True if it holds bytes that the server has not read.
+    pub(crate) fn has_read_ahead(&self) -> bool {
+        self.session.as_ref().is_some_and(|session| session.lock().buffer.has_untaken())
+    }
 }
 
 impl<S: AsyncRead + ReadState + Unpin> ReadAheadStream<S> {
