Front: a target's connection header doesn't take the seal from its response

Callers saw: a success without the target's seal, when the response's Connection header named the seal or the id. Cause: what Connection names was dropped as concerning one connection only, also the two headers by which a caller knows whose response it has; the checks of the head had seen them, so the response counted as proved. Why it works: the id and the seal go from end to end, whatever Connection names, in requests and in responses.

--- a/src/front/exchange.rs
+++ b/src/front/exchange.rs
@@ -90,7 +90,7 @@
     let load = reported_load(front, response.headers());
     let outcome = match verdict {
         HeadVerdict::NotRun(proof) => read_rejection(response, proof, lease).await,
-        _ => read_response(admitted, response, lease).await,
+        _ => read_response(&front.headers, admitted, response, lease).await,
     };
     if let (Some(load), false) = (load, matches!(outcome, AttemptOutcome::Lost(_))) {
         front.state.lock().balancer.record_report(clock::now(), pick, load);
@@ -127,7 +127,7 @@
     body: Body,
 ) -> Result<Request<Body>, String> {
     let names = &front.headers;
-    let mut headers = forwarded_headers(&admitted.head.headers);
+    let mut headers = forwarded_headers(names, &admitted.head.headers);
     // Targets don't get the API key. hyper sets the length of a buffered body.
     for name in [AUTHORIZATION, EXPECT, CONTENT_LENGTH] {
         headers.remove(name);
--- a/src/front/response.rs
+++ b/src/front/response.rs
@@ -16,6 +16,7 @@
 use crate::clock;
 use crate::net::{MeteredBody, connection_options, full_body, is_hop_by_hop};
 
+use super::Headers;
 use super::body_buffer::{ReadEnd, read_start};
 use super::outbound::Lease;
 use super::request::Admitted;
@@ -64,12 +65,13 @@
 
 /// Reads the response of a target that has run the request.
 pub(crate) async fn read_response(
+    names: &Headers,
     admitted: &Admitted,
     response: Response<MeteredBody>,
     lease: Lease,
 ) -> AttemptOutcome {
     let (mut head, mut body) = response.into_parts();
-    head.headers = forwarded_headers(&head.headers);
+    head.headers = forwarded_headers(names, &head.headers);
     head.version = Version::HTTP_11;
     let start = match read_start(&mut body, BUFFERED_RESPONSE_MAX, lease.hold()).await {
         Ok(start) => start,
@@ -93,9 +95,11 @@
     }
 }
 
-/// The headers to forward: all but the hop-by-hop ones.
-pub(crate) fn forwarded_headers(headers: &HeaderMap) -> HeaderMap {
-    let listed = connection_options(headers);
+/// The headers to forward: all but the hop-by-hop ones. The id and the seal are forwarded even if the
+/// `connection` header names them.
+pub(crate) fn forwarded_headers(names: &Headers, headers: &HeaderMap) -> HeaderMap {
+    let mut listed = connection_options(headers);
+    listed.retain(|option| ![&names.attempt, &names.seal].iter().any(|n| n.as_str() == option));
     let mut out = HeaderMap::with_capacity(headers.len() + 3);
     for (name, value) in headers {
         if !is_hop_by_hop(name, &listed) && !PROXY_HEADERS.contains(name) {
