Front: a target is not treated as broken for a 408, 429 or 503 of its own

Callers saw: nothing false, but more failures than needed. A target that runs requests and answers some of them 503 of its own counted as one that breaks responses: two of these in a row, and it was passed over; each cost its connection, and a check whether it had crashed. One that left just then would have counted as crashed by the request (by reading; no run shows this). Cause: a response that can't be passed on for its status was an attempt without a response (Lost). Evidence: a_target_that_answers_503_of_its_own_keeps_its_connections fails on the code before (0 of 6 requests on a kept connection); it passes now, as do the others of false_rejections and late (one run each). Why it works: such an attempt is Withheld: the request has run, as with any 5xx of the target's, its body is read, and nothing is held against the target. A sealed 421 stays with the contradictory heads: it comes from another process at the address.

--- a/src/front/attempt.rs
+++ b/src/front/attempt.rs
@@ -118,13 +118,19 @@
         return Err(RequestError::new(StatusCode::GATEWAY_TIMEOUT, "timeout", detail));
     };
     guard.end(matches!(outcome, AttemptOutcome::Responded(_)));
-    if matches!(outcome, AttemptOutcome::Responded(_) | AttemptOutcome::Failed(_)) {
+    if has_run(&outcome) {
         front.state.lock().crashes.record_run(Instant::now(), &admitted.fingerprint);
     }
     record_outcome(front, pick, log, &outcome);
     Ok(outcome)
 }
 
+/// True if the target has run the request and has outlived it.
+fn has_run(outcome: &AttemptOutcome) -> bool {
+    use AttemptOutcome::{Failed, Responded, Withheld};
+    matches!(outcome, Responded(_) | Failed(_) | Withheld { .. })
+}
+
 /// What follows an attempt.
 enum Next {
     Respond(Response<Body>),
@@ -162,6 +168,15 @@
             }
             history.maybe_run = true;
         }
+        AttemptOutcome::Withheld { status } => {
+            history.arrivals += 1;
+            history.maybe_run = true;
+            history.cause =
+                format!("target {} has run the request, but its {status} says not", pick.id);
+            if !idempotent {
+                return Next::Fail("answer-lost");
+            }
+        }
         AttemptOutcome::Unreached(cause) => {
             history.unreached += 1;
             admitted.set_token_spent(history.arrivals > 0);
@@ -363,6 +378,7 @@
         AttemptOutcome::Responded(_) => "answered",
         AttemptOutcome::NotRun { .. } => "not run",
         AttemptOutcome::Failed(_) => "failed",
+        AttemptOutcome::Withheld { .. } => "withheld",
         AttemptOutcome::Unreached(_) => "unreached",
         AttemptOutcome::Lost(_) => "lost",
     };
@@ -373,6 +389,7 @@
     let detail = match outcome {
         AttemptOutcome::Responded(r) | AttemptOutcome::Failed(r) => r.status().to_string(),
         AttemptOutcome::NotRun { status, .. } => format!("not run ({status})"),
+        AttemptOutcome::Withheld { status } => format!("withheld ({status})"),
         AttemptOutcome::Unreached(cause) => format!("unreached ({cause})"),
         AttemptOutcome::Lost(cause) => format!("lost ({cause})"),
     };
--- a/src/front/exchange.rs
+++ b/src/front/exchange.rs
@@ -18,7 +18,9 @@
 use super::notices::read_notice;
 use super::outbound::{Lease, SendFailure};
 use super::request::{Admitted, RequestBody, path_and_query};
-use super::response::{AttemptOutcome, forwarded_headers, read_rejection, read_response};
+use super::response::{
+    AttemptOutcome, forwarded_headers, read_rejection, read_response, read_withheld,
+};
 use super::response_head::{HeadOrigin, HeadVerdict, judge_head};
 use super::unproved::UnprovedRecord;
 
@@ -79,18 +81,18 @@
         let status = response.status();
         let record = UnprovedRecord::new(&admitted.id, pick.id.as_str(), status, fault, origin);
         front.report_unproved(fault, &record);
-        if fault.is_own() {
-            note_target(front, admitted, pick, &response);
+        if !fault.is_own() {
+            return AttemptOutcome::Lost(format!(
+                "the response ({status}) can't be passed on: {fault}"
+            ));
         }
-        return AttemptOutcome::Lost(format!(
-            "the response ({status}) can't be passed on: {fault}"
-        ));
     }
     note_target(front, admitted, pick, &response);
     let load = reported_load(front, response.headers());
     let outcome = match verdict {
         HeadVerdict::NotRun(proof) => read_rejection(response, proof, lease).await,
-        _ => read_response(&front.headers, admitted, response, lease).await,
+        HeadVerdict::Unproved(_) => read_withheld(response, lease).await,
+        HeadVerdict::Ran => read_response(&front.headers, admitted, response, lease).await,
     };
     if let (Some(load), false) = (load, matches!(outcome, AttemptOutcome::Lost(_))) {
         front.state.lock().balancer.record_report(clock::now(), pick, load);
--- a/src/front/response.rs
+++ b/src/front/response.rs
@@ -41,26 +41,44 @@
     NotRun { status: StatusCode, proof: NotRunProof },
     /// A 5xx response, to be forwarded unless the request is retried.
     Failed(Response<Body>),
+    /// The target has run the request, and its response may not be forwarded.
+    Withheld { status: StatusCode },
     /// No byte of the request has reached the target.
     Unreached(String),
     /// The request may have run, but there is no response that may be forwarded.
     Lost(String),
 }
 
-/// Reads a rejection to its end, so that its connection can be used again.
+/// Reads a rejection.
 pub(crate) async fn read_rejection(
     response: Response<MeteredBody>,
     proof: NotRunProof,
     lease: Lease,
 ) -> AttemptOutcome {
     let status = response.status();
+    match drain(response, lease).await {
+        Ok(()) => AttemptOutcome::NotRun { status, proof },
+        Err(e) => AttemptOutcome::Lost(format!("the rejection was aborted: {e}")),
+    }
+}
+
+/// Reads a response that may not be forwarded.
+pub(crate) async fn read_withheld(response: Response<MeteredBody>, lease: Lease) -> AttemptOutcome {
+    let status = response.status();
+    match drain(response, lease).await {
+        Ok(()) => AttemptOutcome::Withheld { status },
+        Err(e) => AttemptOutcome::Lost(format!("the response was aborted: {e}")),
+    }
+}
+
+/// Reads a response whose body isn't needed to its end, so that its connection can be used again.
+async fn drain(response: Response<MeteredBody>, lease: Lease) -> Result<(), hyper::Error> {
     let mut body = response.into_body();
-    match read_start(&mut body, BUFFERED_RESPONSE_MAX, lease.hold()).await {
-        Ok(start) if start.end == ReadEnd::Whole => lease.release(),
-        Ok(_) => {}
-        Err(e) => return AttemptOutcome::Lost(format!("the rejection was aborted: {e}")),
+    let start = read_start(&mut body, BUFFERED_RESPONSE_MAX, lease.hold()).await?;
+    if start.end == ReadEnd::Whole {
+        lease.release();
     }
-    AttemptOutcome::NotRun { status, proof }
+    Ok(())
 }
 
 /// Reads the response of a target that has run the request.
--- a/src/front/response_head.rs
+++ b/src/front/response_head.rs
@@ -76,7 +76,8 @@
         }
     }
 
-    /// True if the response is the request's own all the same, so that the target's notices count.
+    /// True if the response is the request's own all the same: the target has run it, and its notices
+    /// and load count.
     pub(crate) fn is_own(self) -> bool {
         self == Self::FalsePromise
     }
@@ -150,15 +151,11 @@
 /// `own` is true if the head is known to answer the request; late bytes may look like a rejection.
 fn find_rejection_fault(names: &Headers, head: &Parts, own: bool) -> Option<HeadFault> {
     let sealed = head.headers.contains_key(&names.seal);
-    let says_not_run = head.headers.contains_key(&names.not_run);
     let is_error = head.status.is_client_error() || head.status.is_server_error();
-    if !own {
-        return Some(HeadFault::NoId);
+    match own {
+        false => Some(HeadFault::NoId),
+        true => (sealed || !is_error).then_some(HeadFault::Contradictory),
     }
-    if !is_error || (sealed && says_not_run) {
-        return Some(HeadFault::Contradictory);
-    }
-    sealed.then_some(HeadFault::FalsePromise)
 }
 
 /// True if a target says that it has not run the request. A 421 comes from another process at the
