Front: an unasked switch of protocols is not passed on

Callers saw: 101 with the target's seal for a request that asked for no other protocol; it ends HTTP on the caller's connection, and no final response follows. Cause: hyper takes a 101 for a final response, and the checks of the head have no rule for it. Why it works: a front forwards no Upgrade, so a 101 is never a response to what was asked; it proves nothing, and the request counts as possibly run.

--- a/src/front/response_head.rs
+++ b/src/front/response_head.rs
@@ -47,6 +47,8 @@
 pub(crate) enum HeadFault {
     #[error("its head holds the status line of another response")]
     Spliced,
+    #[error("it switches protocols, which no request asks for")]
+    Switched,
     #[error("it has a header twice that may come once")]
     Repeated,
     #[error("it has another request's id")]
@@ -67,6 +69,7 @@
     pub(crate) fn as_str(self) -> &'static str {
         match self {
             Self::Spliced => "spliced",
+            Self::Switched => "switched",
             Self::Repeated => "repeated",
             Self::OtherId => "other-id",
             Self::NoId => "no-id",
@@ -130,6 +133,9 @@
     if spliced {
         return Some(HeadFault::Spliced);
     }
+    if head.status == StatusCode::SWITCHING_PROTOCOLS {
+        return Some(HeadFault::Switched);
+    }
     if [&names.attempt, &names.seal].into_iter().any(|name| is_repeated(headers, name)) {
         return Some(HeadFault::Repeated);
     }
