--- a/src/front/response_head.rs
+++ b/src/front/response_head.rs
@@ -47,6 +47,8 @@
 pub(crate) enum HeadFault {
     #[error("its head holds the status line of another response")]
     Spliced,
+    #[error("it switches protocols, which no request asks for")]
+    Switched,
     #[error("it has a header twice that may come once")]
     Repeated,
     #[error("it has another request's id")]
@@ -67,6 +69,7 @@
     pub(crate) fn as_str(self) -> &'static str {
         match self {
             Self::Spliced => "spliced",
+            Self::Switched => "switched",
             Self::Repeated => "repeated",
             Self::OtherId => "other-id",
             Self::NoId => "no-id",
@@ -76,7 +79,8 @@
         }
     }
 
-    /// True if the response is the request's own all the same, so that the target's notices count.
+    /// True if the response is the request's own all the same: the target has run it, and its notices
+    /// and load count.
     pub(crate) fn is_own(self) -> bool {
         self == Self::FalsePromise
     }
@@ -129,6 +133,9 @@
     if spliced {
         return Some(HeadFault::Spliced);
     }
+    if head.status == StatusCode::SWITCHING_PROTOCOLS {
+        return Some(HeadFault::Switched);
+    }
     if [&names.attempt, &names.seal].into_iter().any(|name| is_repeated(headers, name)) {
         return Some(HeadFault::Repeated);
     }
@@ -150,15 +157,11 @@
 /// `own` is true if the head is known to answer the request; late bytes may look like a rejection.
 fn find_rejection_fault(names: &Headers, head: &Parts, own: bool) -> Option<HeadFault> {
     let sealed = head.headers.contains_key(&names.seal);
-    let says_not_run = head.headers.contains_key(&names.not_run);
     let is_error = head.status.is_client_error() || head.status.is_server_error();
-    if !own {
-        return Some(HeadFault::NoId);
-    }
-    if !is_error || (sealed && says_not_run) {
-        return Some(HeadFault::Contradictory);
+    match own {
+        false => Some(HeadFault::NoId),
+        true => (sealed || !is_error).then_some(HeadFault::Contradictory),
     }
-    sealed.then_some(HeadFault::FalsePromise)
 }
 
 /// True if a target says that it has not run the request. A 421 comes from another process at the
