Daemon: a refusal after an attempt that may have run has status 504

What callers saw: 503 (`busy`), by which a VM says that a request has not run, for an idempotent request that a target had run and whose response was lost. The body said `attempt: unknown`; the status contradicted it. Only `stopping` had 504 in this case. Cause: the status followed from the reason for which no further attempt was made, which says nothing of the attempts before. A shed as the last of several attempts was passed on as the target's 503 in the same way. Evidence: tests/false_promises.rs fails on the code before (503 `busy`, attempt unknown, 1 run) and passes with this change. It stops at its first row, so the row of sheds was not seen failing by itself. Why it works: the status is chosen in one place, by `attempt`; 408, 421, 429 and 503 become 504 unless it is `not-run`.

--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -274,20 +274,20 @@
     let result = decode_outcome(&answer);
     history.cause = answer.cause.clone();
     match result {
-        Outcome::Answered if shed && idempotent && history.attempts < MAX_ATTEMPTS => {
-            if !take_retry(node, admitted) {
+        Outcome::Answered if shed => {
+            let retry = idempotent && history.attempts < MAX_ATTEMPTS && take_retry(node, admitted);
+            if !retry && !history.may_have_run {
                 return NextStep::Return(answer);
             }
+            history.cause = format!("{} has shed the request", answer.target);
             history.avoid_targets.push(answer.target);
             history.may_have_run = true;
             history.reason = Some(Reason::Busy);
-            NextStep::Retry
+            retry_if(retry)
         }
         Outcome::Answered => {
-            if !shed {
-                let mut crashes = node.crashes.lock().expect("crashes lock");
-                crashes.record_run(Instant::now(), &admitted.fingerprint);
-            }
+            let mut crashes = node.crashes.lock().expect("crashes lock");
+            crashes.record_run(Instant::now(), &admitted.fingerprint);
             NextStep::Return(answer)
         }
         Outcome::Busy => {
--- a/src/node/refusal.rs
+++ b/src/node/refusal.rs
@@ -11,6 +11,17 @@
 use crate::common::record;
 use crate::net::json_response;
 
+/// True if a response with this status promises that its request has not run.
+pub(super) fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Whether a request may have run.
 #[apply(record!)]
 #[derive(Copy, Eq)]
@@ -167,10 +178,11 @@
     }
 
     fn status(&self) -> StatusCode {
-        match (self.reason, self.attempt) {
-            // 503 would say that it has not run.
-            (Reason::Stopping, RunStatus::Unknown) => StatusCode::GATEWAY_TIMEOUT,
-            (reason, _) => reason.status(),
+        let status = self.reason.status();
+        match self.attempt {
+            RunStatus::NotRun => status,
+            _ if promises_not_run(status) => StatusCode::GATEWAY_TIMEOUT,
+            _ => status,
         }
     }
 
