Daemon: a retry comes on a new connection

Callers could see: 503 for an idempotent request that ran. Shown by a test, not by a run of the users'. Cause: all attempts of a request have one id. A request that was shed was sent again on the pooled connection of the same address, where one target has replaced another; a late copy of the first response was taken for the second attempt's. Evidence: the test fails on the code before (10 of 10 requests ran and were refused as not run) and passes with this change. Why it works: on a connection that has not carried the request, its id proves that a response is its own.

--- a/src/node/target_call.rs
+++ b/src/node/target_call.rs
@@ -60,8 +60,10 @@
     left: Duration,
 ) -> Result<Response<Bytes>, HttpError> {
     // A pooled connection may be dead, and the request lost on it. Only idempotent requests use
-    // one, since they can be retried.
-    if !forward.idempotent {
+    // one, since they can be retried. On one that has carried an earlier attempt, a late copy of
+    // that one's response would have the request's id, too.
+    let is_retry = !forward.avoid.is_empty();
+    if !forward.idempotent || is_retry {
         return node.client.send_unpooled(request, left).await;
     }
     let is_own = |headers: &HeaderMap| has_own_id(headers, &forward.request);
--- a/tests/false_promises.rs
+++ b/tests/false_promises.rs
@@ -376,3 +376,18 @@
         assert_none(&play.finish().await);
     }
 }
+
+/// Guards against a late copy of the response to an earlier attempt, which bears the request's id:
+/// two targets have one address, since one has replaced the other.
+#[tokio::test]
+async fn a_late_copy_of_an_earlier_attempts_shed_is_not_taken_for_the_next_ones() {
+    let case = Case { sheds: 1..2, ..Case::with_extra(SHED) };
+    let targets = Arc::new(CaseTargets { cases: vec![case], ..CaseTargets::default() });
+    let addr = targets.listen().await;
+    let mut play = Play::start_at(&VMS[..1], targets, &[addr, addr]).await;
+    for _ in 0..10 {
+        play.send(VMS[0], ("GET", "/desk/read"), None).await;
+        play.send(VMS[0], ("GET", "/desk/read"), Some(0)).await;
+    }
+    assert_none(&play.finish().await);
+}
