Daemon: a booking that its target has shed releases its idempotency key

What callers saw: a booking that was shed could not be made with its key any more: the target's 503 was replayed, and `once-done`, `run: done` would have followed once its body had expired, though it never ran. Cause: any response of a target was stored as the key's outcome, also one that says that nothing has run. Evidence: the test fails on the code before (the second call gets the replayed `503 shed`) and passes with this change. Why it works: a shed that is proven releases the claim, as other refusals do that have reached no target. Stored outcomes with a status that promises "not run", which earlier landings wrote, are no longer replayed as such: the outcome is not known (`once-open`).

--- a/src/node/once.rs
+++ b/src/node/once.rs
@@ -13,7 +13,8 @@
 
 use super::ingress::Admitted;
 use super::records::RecordBuilder;
-use super::refusal::{Reason, Refusal, RunStatus};
+use super::refusal::{Reason, Refusal, RunStatus, promises_not_run};
+use super::response_head::SHED_HEADER;
 use super::{Node, attempt, unix_seconds};
 
 /// Claims the key, sends the request, and stores its outcome.
@@ -53,6 +54,10 @@
     }
     let outcome = attempt::run(node, admitted, builder).await;
     match &outcome {
+        // Nothing has run, so that a later attempt may.
+        Ok(response) if response.headers().contains_key(SHED_HEADER) => {
+            node.claims.release(&account, &key, &admitted.id);
+        }
         Ok(response) => {
             let end = ClaimState::Done(reply_of(response));
             node.claims.settle(&account, &key, &admitted.id, end);
@@ -68,8 +73,9 @@
 /// Answers a request whose key is already claimed: with the stored response, if there is one.
 fn replay(claim: &Claim) -> Result<Response<Bytes>, Refusal> {
     let reply = match &claim.state {
-        ClaimState::Done(reply) => reply,
-        ClaimState::Claimed | ClaimState::Unknown => {
+        // A status that promises that the request has not run doesn't say whether it has.
+        ClaimState::Done(reply) if !is_promise(reply) => reply,
+        ClaimState::Done(_) | ClaimState::Claimed | ClaimState::Unknown => {
             let detail =
                 format!("request {} has claimed the key; its outcome is not known", claim.nonce);
             let refusal = Refusal::not_run(Reason::OnceOpen, detail);
@@ -92,6 +98,10 @@
     Ok(response)
 }
 
+fn is_promise(reply: &Reply) -> bool {
+    StatusCode::from_u16(reply.status).is_ok_and(promises_not_run)
+}
+
 fn reply_of(response: &Response<Bytes>) -> Reply {
     let kind = header_text(response.headers(), CONTENT_TYPE);
     let body = keeps_body(response.body().len()).then(|| STANDARD.encode(response.body()));
--- a/tests/once.rs
+++ b/tests/once.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use common::{Call, Fleet, desk_document};
+use http::Method;
 use shallotstall::standin::{StoreFaults, StoreMode, TargetFaults};
 
 const BODY: &str = "{\"shift\":\"morning\"}";
@@ -79,6 +80,37 @@
     }
 }
 
+/// A booking that its target has shed has not run: its key isn't used up, and no refusal says that
+/// it ran.
+#[tokio::test]
+async fn a_shed_booking_may_be_sent_again_with_its_key() {
+    let (fleet, key) = fleet().await;
+    let call = Call::post("/desk/book", BODY).key(&key).once("shed");
+    let base = TargetFaults { work_ms: 2, ..TargetFaults::default() };
+    for shed in [true, false] {
+        for number in 0..2 {
+            fleet.target_faults(number, &TargetFaults { shed, ..base.clone() }).await;
+        }
+        if shed {
+            let answer = fleet.send("n1-a", call.clone()).await.expect("a response");
+            assert_eq!(answer.status, 503, "{}", answer.text);
+            let path = format!("/v1/requests/{}", answer.request);
+            let record = fleet.operator("n1-a", Method::GET, &path, "").await.text;
+            assert!(record.contains("shed-by-id"), "{record}");
+        }
+    }
+    fleet.await_response("n1-b", "/desk/read", &key, 200).await;
+    fleet
+        .eventually("the booking runs", async || {
+            let answer = fleet.send("n1-b", call.clone()).await.expect("a response");
+            let told = answer.status == 200 || answer.run_status() == "unknown";
+            assert!(told, "{} {}", answer.status, answer.text);
+            answer.status == 200
+        })
+        .await;
+    assert_eq!(runs_of(&fleet, "shed").await, 1);
+}
+
 /// Concurrent requests with the same key through two entry VMs: their claims conflict in the store,
 /// and only one may win.
 #[tokio::test]
