--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -16,6 +16,7 @@
 use super::ingress::Admitted;
 use super::records::RecordBuilder;
 use super::refusal::{Reason, Refusal};
+use super::response_head::SHED_HEADER;
 use super::target_call::failed_answer;
 use super::{Node, egress, outage, peers, sanitize};
 
@@ -120,6 +121,9 @@
             "forward",
             format!("to {} in {}: {text}", candidate.vm, candidate.place.zone),
         );
+        if is_shed(&answer) {
+            builder.shed_proof = Some(answer.cause.clone());
+        }
         match decide_next(node, admitted, &candidate, answer, &mut history) {
             NextStep::Return(answer) => return to_response(&answer),
             NextStep::Retry => {}
@@ -269,25 +273,23 @@
     history: &mut AttemptHistory,
 ) -> NextStep {
     let idempotent = admitted.route.idempotent;
-    // A target marks a request that it sheds with status 503 and the header `x-shed`.
-    let shed = answer.status == 503 && answer.headers.iter().any(|h| h.name == "x-shed");
+    let shed = is_shed(&answer);
     let result = decode_outcome(&answer);
     history.cause = answer.cause.clone();
     match result {
-        Outcome::Answered if shed && idempotent && history.attempts < MAX_ATTEMPTS => {
-            if !take_retry(node, admitted) {
+        Outcome::Answered if shed => {
+            let retry = idempotent && history.attempts < MAX_ATTEMPTS && take_retry(node, admitted);
+            if !retry && !history.may_have_run {
                 return NextStep::Return(answer);
             }
+            history.cause = format!("{} has shed the request", answer.target);
             history.avoid_targets.push(answer.target);
-            history.may_have_run = true;
             history.reason = Some(Reason::Busy);
-            NextStep::Retry
+            retry_if(retry)
         }
         Outcome::Answered => {
-            if !shed {
-                let mut crashes = node.crashes.lock().expect("crashes lock");
-                crashes.record_run(Instant::now(), &admitted.fingerprint);
-            }
+            let mut crashes = node.crashes.lock().expect("crashes lock");
+            crashes.record_run(Instant::now(), &admitted.fingerprint);
             NextStep::Return(answer)
         }
         Outcome::Busy => {
@@ -327,6 +329,11 @@
     }
 }
 
+/// True if the target has shed the request, by the proof in `cause`.
+fn is_shed(answer: &Answer) -> bool {
+    answer.status == 503 && answer.headers.iter().any(|h| h.name == SHED_HEADER)
+}
+
 fn retry_if(allowed: bool) -> NextStep {
     if allowed { NextStep::Retry } else { NextStep::Stop }
 }
