Net: a connection on which two responses came as one stays known as such

Cause: the scan of heads begins anew when a request is written after the head of a response, which may also be the rest of an upload whose response has begun early. The finding of that response was then forgotten before it was asked for. The finding stays for the connection now, until the next request's head is expected.

--- a/src/net/metered.rs
+++ b/src/net/metered.rs
@@ -45,6 +45,9 @@
     head: HeadScan,
     /// True once a request has been written after the head of another one's response.
     reused: bool,
+    /// True once a head has held the status line of another response. It stays, since a request may go on
+    /// being written after its response has begun.
+    spliced: bool,
 }
 
 /// A meter whose connection's buffer counts towards no budget.
@@ -58,19 +61,22 @@
     /// A meter that counts towards the budget of `held`.
     pub(crate) fn new(held: HeldBytes) -> Self {
         let head = HeadScan::default();
-        let state = MeterState { unparsed: 0, largest: 0, held, head, reused: false };
+        let state =
+            MeterState { unparsed: 0, largest: 0, held, head, reused: false, spliced: false };
         Self(Arc::new(Mutex::new(state)))
     }
 
     /// Scans what is read from now on as the head of a response. Call it for a connection in use again, when
     /// the response before has been read in full.
     pub(crate) fn expect_head(&self) {
-        self.lock().head = HeadScan::default();
+        let mut state = self.lock();
+        state.head = HeadScan::default();
+        state.spliced = false;
     }
 
     /// True if the head of the response holds the status line of another one.
     pub(crate) fn is_spliced(&self) -> bool {
-        self.lock().head.is_spliced()
+        self.lock().spliced
     }
 
     /// True if the connection has carried an earlier response, so that late bytes may precede the
@@ -129,6 +135,7 @@
     /// Fails if no part of a response has come for too many bytes.
     fn add(&mut self, bytes: &[u8]) -> Result<()> {
         self.head.scan(bytes);
+        self.spliced |= self.head.is_spliced();
         self.unparsed += bytes.len();
         match self.unparsed <= UNPARSED_BYTES_MAX {
             true => Ok(()),
