--- a/src/front/exchange.rs
+++ b/src/front/exchange.rs
@@ -57,7 +57,7 @@
         Err(cause) => return AttemptOutcome::Unreached(cause),
     };
     match front.target_client.send(pick.addr, request, reuse).await {
-        Ok((response, lease)) => read(front, admitted, pick, response, lease).await,
+        Ok((response, lease)) => receive(front, admitted, pick, response, lease).await,
         Err(SendFailure { maybe_sent: false, step, peer, cause }) => {
             AttemptOutcome::Unreached(format!("{step} at {peer}: {cause}"))
         }
@@ -65,8 +65,8 @@
     }
 }
 
-/// Judges a response by its head, and reads it.
-async fn read(
+/// Judges a response by its head, and reads its body.
+async fn receive(
     front: &Front,
     admitted: &Admitted,
     pick: &Pick,
--- a/src/front/ingress.rs
+++ b/src/front/ingress.rs
@@ -16,7 +16,8 @@
 use crate::clock;
 use crate::model::ServiceId;
 use crate::net::{
-    Arrival, HoldKind, LaterRequests, Respond, UnparsedCause, full_body, header_text, text_response,
+    Arrival, HoldKind, LaterRequests, Respond, UnparsedCause, full_body, header_text,
+    promises_not_run, text_response,
 };
 use crate::steer::{Customer, PickRequest, Rank, WeightedService, name_hash};
 use crate::targets::CrashTracker;
@@ -27,7 +28,6 @@
 use super::metrics::RequestLabels;
 use super::request::{Admitted, RequestBody, RequestError, RequestLog, path_and_query};
 use super::request_head::affinity_key;
-use super::response_head::promises_not_run;
 use super::{Front, access, admission, attempt, in_flight};
 
 /// Longest request body that is buffered before it is forwarded, in bytes. A longer one is streamed,
--- a/src/front/response_head.rs
+++ b/src/front/response_head.rs
@@ -4,7 +4,7 @@
 use http::response::Parts;
 use http::{HeaderMap, HeaderName, StatusCode};
 
-use crate::net::header_text;
+use crate::net::{header_text, promises_not_run};
 
 use super::Headers;
 
@@ -95,17 +95,6 @@
     pub(crate) spliced: bool,
 }
 
-/// True if a response with this status promises that its request has not run.
-pub(crate) fn promises_not_run(status: StatusCode) -> bool {
-    matches!(
-        status,
-        StatusCode::REQUEST_TIMEOUT
-            | StatusCode::MISDIRECTED_REQUEST
-            | StatusCode::TOO_MANY_REQUESTS
-            | StatusCode::SERVICE_UNAVAILABLE
-    )
-}
-
 /// Tells what a response's head proves about the request with this `id`.
 pub(crate) fn judge_head(
     names: &Headers,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -33,6 +33,7 @@
     TrackerEvent,
 };
 pub use respond::{Arrival, Respond};
+pub(crate) use response::promises_not_run;
 pub use response::{bytes_response, full_body, json_response, text_response};
 pub use response_budget::{OverBudget, ResponseBudget};
 pub use serve::Server;
--- a/src/net/response.rs
+++ b/src/net/response.rs
@@ -1,4 +1,4 @@
-//! Bodies and simple responses.
+//! Bodies, simple responses, and what a status promises.
 
 use bytes::Bytes;
 use gotham::helpers::http::Body;
@@ -33,3 +33,14 @@
     let body = serde_json::to_vec(value).unwrap_or_else(|e| e.to_string().into_bytes());
     bytes_response(status, "application/json", Bytes::from(body))
 }
+
+/// True if a response with this status promises that its request has not run.
+pub(crate) fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
--- a/src/node/once.rs
+++ b/src/node/once.rs
@@ -8,12 +8,12 @@
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Response, StatusCode};
 
-use crate::net::header_text;
+use crate::net::{header_text, promises_not_run};
 use crate::once::{Claim, ClaimOutcome, ClaimState, IdempotencyKey, Reply, keeps_body};
 
 use super::ingress::Admitted;
 use super::records::RecordBuilder;
-use super::refusal::{Reason, Refusal, RunStatus, promises_not_run};
+use super::refusal::{Reason, Refusal, RunStatus};
 use super::response_head::SHED_HEADER;
 use super::{Node, attempt, unix_seconds};
 
--- a/src/node/refusal.rs
+++ b/src/node/refusal.rs
@@ -9,18 +9,7 @@
 use macro_rules_attribute::apply;
 
 use crate::common::record;
-use crate::net::json_response;
-
-/// True if a response with this status promises that its request has not run.
-pub(super) fn promises_not_run(status: StatusCode) -> bool {
-    matches!(
-        status,
-        StatusCode::REQUEST_TIMEOUT
-            | StatusCode::MISDIRECTED_REQUEST
-            | StatusCode::TOO_MANY_REQUESTS
-            | StatusCode::SERVICE_UNAVAILABLE
-    )
-}
+use crate::net::{json_response, promises_not_run};
 
 /// Whether a request may have run.
 #[apply(record!)]
--- a/src/node/response_head.rs
+++ b/src/node/response_head.rs
@@ -3,9 +3,7 @@
 
 use http::{HeaderMap, Response, StatusCode};
 
-use crate::net::{ConnectionUse, header_text};
-
-use super::refusal::promises_not_run;
+use crate::net::{ConnectionUse, header_text, promises_not_run};
 
 /// Header with the id of the request that a response answers.
 const ID_HEADER: &str = "x-request-id";
