Front: log and count the limits that targets name

Change: the header is read (invalid values say nothing; of several the least counts), kept for the target's incarnation, logged when it changes (kind "limit") and counted (target_notices, targets_limited). Nothing is decided by it yet.

--- a/src/front/exchange.rs
+++ b/src/front/exchange.rs
@@ -12,7 +12,7 @@
 
 use crate::clock;
 use crate::net::{MeteredBody, full_body, header_text};
-use crate::steer::{LoadReport, Pick};
+use crate::steer::{LimitNotice, LoadReport, Pick};
 
 use super::Front;
 use super::notices::read_notice;
@@ -87,7 +87,7 @@
             ));
         }
     }
-    note_target(front, admitted, pick, &response);
+    note_target(front, admitted, pick, &response, verdict == HeadVerdict::Ran);
     let load = reported_load(front, response.headers());
     let outcome = match verdict {
         HeadVerdict::NotRun(proof) => read_rejection(response, proof, lease).await,
@@ -100,12 +100,23 @@
     outcome
 }
 
-/// Records what a target says of itself, if the response is known to be the request's.
-fn note_target<B>(front: &Front, admitted: &Admitted, pick: &Pick, response: &Response<B>) {
+/// Records what a target says of itself, if the response is known to be the request's. Only that of a
+/// request that `has_run` tells that there is no limit.
+fn note_target<B>(
+    front: &Front,
+    admitted: &Admitted,
+    pick: &Pick,
+    response: &Response<B>,
+    has_run: bool,
+) {
     let headers = response.headers();
     if header_text(headers, &front.headers.attempt) == Some(&admitted.id) {
         let notice = read_notice(&front.headers, response.status(), headers);
         front.record_notice(&pick.id, pick.born_ms, notice);
+        let limit = LimitNotice::from_head(&front.headers.limit, headers);
+        if has_run || limit != LimitNotice::Absent {
+            front.record_limit(&pick.id, pick.born_ms, limit);
+        }
     }
 }
 
--- a/src/front/metrics.rs
+++ b/src/front/metrics.rs
@@ -123,6 +123,7 @@
     age: Gauge,
     targets: Gauge,
     usable: Gauge,
+    limited: Gauge,
     members: Gauge,
     in_flight: Gauge,
     unsent: Gauge,
@@ -160,6 +161,7 @@
             age: Gauge::default(),
             targets: Gauge::default(),
             usable: Gauge::default(),
+            limited: Gauge::default(),
             members: Gauge::default(),
             tokens: Family::default(),
             rank_retries: Family::default(),
@@ -185,7 +187,8 @@
             "Time from a request's head to its answer's",
             metrics.latency.clone(),
         );
-        let help = "What targets said of themselves: that they leave, or want a pause";
+        let help =
+            "What targets said of themselves: that they leave, want a pause, or name a limit";
         registry.register("target_notices", help, metrics.notices.clone());
         let help = "Requests whose callers left before a response, by how far they had come";
         registry.register("requests_aborted", help, metrics.aborted.clone());
@@ -201,6 +204,7 @@
         registry.register("table_age_ms", "Age of the configuration", metrics.age.clone());
         registry.register("targets", "Targets known", metrics.targets.clone());
         registry.register("targets_usable", "Targets that take requests", metrics.usable.clone());
+        registry.register("targets_limited", "Targets that name a limit", metrics.limited.clone());
         registry.register("members", "Entry VMs known", metrics.members.clone());
         let help = "Pipelined requests started before their turn";
         registry.register("ahead_started", help, metrics.ahead_started.clone());
@@ -279,6 +283,12 @@
         }
     }
 
+    /// Records that a target named a new limit, or that its limit ended.
+    pub(crate) fn record_limit(&self, named: bool) {
+        let kind = if named { "limit" } else { "limit-end" };
+        self.notices.get_or_create(&NoticeLabels { kind }).inc();
+    }
+
     /// Records a request whose caller left before a response.
     pub(crate) fn record_aborted(&self, step: RequestStep) {
         self.aborted.get_or_create(&AbortLabels { step: step.as_str() }).inc();
@@ -301,6 +311,7 @@
             let (known, usable) = state.balancer.counts(now);
             self.targets.set(known as i64);
             self.usable.set(usable as i64);
+            self.limited.set(state.balancer.limited_count() as i64);
             self.members.set(state.fleet.len() as i64);
         }
         let mut text = String::new();
--- a/src/front/probes.rs
+++ b/src/front/probes.rs
@@ -8,7 +8,7 @@
 
 use crate::clock;
 use crate::net::{full_body, header_text};
-use crate::steer::DueProbe;
+use crate::steer::{DueProbe, LimitNotice};
 
 use super::Front;
 use super::notices::read_notice;
@@ -72,6 +72,10 @@
         return Err("another target responded".to_owned());
     }
     front.record_notice(id, *born_ms, read_notice(&front.headers, response.status(), headers));
+    let limit = LimitNotice::from_head(&front.headers.limit, headers);
+    if limit != LimitNotice::Absent {
+        front.record_limit(id, *born_ms, limit);
+    }
     if !response.status().is_success() {
         return Err(format!("status {}", response.status()));
     }
--- a/src/front/source.rs
+++ b/src/front/source.rs
@@ -63,6 +63,9 @@
     pub not_run: HeaderName,
     /// In a target's response: the target leaves. Any of these names says so.
     pub leaving: Vec<HeaderName>,
+    /// In a target's response: the requests per second that it takes from all entry VMs together, under
+    /// any of these names.
+    pub limit: Vec<HeaderName>,
     /// In a target's response: proof that the target itself produced it.
     pub seal: HeaderName,
     /// In a target's response: running requests, queued requests and slots.
--- a/src/steer/known.rs
+++ b/src/steer/known.rs
@@ -10,6 +10,7 @@
 use super::pick::Pick;
 use super::record::TargetRecord;
 use super::rendezvous::NameHash;
+use super::target_limit::TargetLimit;
 use crate::model::{RegionId, ServiceId, TargetId};
 
 /// Added to a target's reported remaining warm-up time.
@@ -73,6 +74,8 @@
     pub(super) load: TargetLoad,
     pub(super) backoff: FailureBackoff,
     pub(super) notices: NoticeState,
+    /// The limit that this incarnation names.
+    pub(super) limit: TargetLimit,
     /// When to remove it, if its record has disappeared and may have been lost by the store.
     pub(super) expires: Option<Duration>,
 }
@@ -105,6 +108,7 @@
             next_cold_send: Duration::ZERO,
             backoff: FailureBackoff::default(),
             notices,
+            limit: TargetLimit::default(),
             expires: None,
         }
     }
@@ -118,6 +122,7 @@
             self.restarts = 0;
             self.backoff = FailureBackoff::default();
             self.notices = self.notices.for_incarnation(record.born_ms);
+            self.limit = TargetLimit::default();
             self.load.forget_reports();
         }
         self.cold_until = if restarted { cold_until } else { cold_until.max(self.cold_until) };
@@ -173,6 +178,7 @@
         if self.crashed {
             self.crashed = false;
             self.restarts += 1;
+            self.limit = TargetLimit::default();
         }
     }
 }
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -7,7 +7,8 @@
 //! - [`Balancer`] chooses targets by [`rendezvous_score`] of the affinity key and by load, and
 //!   leaves room for customers bound to a region.
 //! - [`Observation`] is what the entry VMs of a zone tell each other of a target's load.
-//! - [`TargetNotice`] is what a target says of itself in a response.
+//! - [`TargetNotice`] is what a target says of itself in a response; [`LimitNotice`] is the limit of
+//!   requests per second that it names there.
 //! - [`RateLimiter`] and [`TokenPool`] keep each customer's rate over all entry VMs.
 //! - [`RankClasses`] says which requests come first when there are too few tokens or retries;
 //!   [`TokenQueue`] holds those that wait for a token.
@@ -27,6 +28,7 @@
 mod freshness;
 mod known;
 mod limiter;
+mod limits;
 mod load;
 mod load_report;
 mod notice;
@@ -51,6 +53,7 @@
 mod spill_noise;
 mod stopping;
 mod table;
+mod target_limit;
 mod token_queue;
 mod tokens;
 mod vm_record;
@@ -81,5 +84,6 @@
     Access, Customer, KeyHash, RequestLimits, Route, Service, Table, TableIndex, WeightedService,
     key_hash,
 };
+pub use target_limit::LimitNotice;
 pub use token_queue::{Ticket, TokenQueue};
 pub use vm_record::{Liveness, VmRecord};
