Balancer: all entry VMs together keep the limit that a target names

Cause: nothing read the limit. The class: a limit of the whole fleet that no VM, or each VM for itself, keeps. Change: each VM owns a share of every target's limit, from the records of the entry VMs alone, and sends one request in each of its turns; the turns of all VMs are spread evenly by the time of day. No message and no centre is needed, so that no cut, kill or hand-over lets two sides act at once. Unused turns are lost, so that all VMs can't send at once after a quiet time. Attempts, retries and health checks all take turns. VMs of a zone tell each other limits and their ends with the observations that they pass on anyway. What a limited target can't take goes to the others; if all are limited, a request is rejected at once (reason "limited"), and each rejected caller is told a later time, at the limits' rate. A limit outlives the loss of the target's record in the store, and ends with its incarnation. Why not escrow's bucket or the customers' tokens: a bucket of one token for each of 25 VMs lets 25 requests through at once where 26 in 4 s are allowed, and tokens from a pool need a centre that may be cut off.

--- a/src/front/attempt.rs
+++ b/src/front/attempt.rs
@@ -13,7 +13,7 @@
 use crate::clock;
 use crate::model::TargetId;
 use crate::net::{HeldBytes, HoldKind, hold_until_sent};
-use crate::steer::{Pick, PickRequest, PickResult, caller_pause};
+use crate::steer::{Pick, PickRequest, PickResult, caller_pause, rate_retry_after};
 
 use super::Front;
 use super::crash_check::check_for_crash;
@@ -231,6 +231,11 @@
                 let error = self.error("paused", "every target has asked for a pause");
                 Err(error.retry_after(spread(left)))
             }
+            PickResult::Limited(room) => {
+                let error = self.error("limited", "every target is at the limit that it named");
+                let left = deadline.saturating_sub(clock::now());
+                Err(error.retry_after(rate_retry_after(room, left, rand::rng().random())))
+            }
             PickResult::NoTarget => Err(self.error("no-target", "no target is available")),
         }
     }
--- a/src/front/state.rs
+++ b/src/front/state.rs
@@ -12,6 +12,7 @@
 use tokio::sync::Notify;
 
 use crate::model::{TargetId, VmId, ZoneId};
+use crate::node::unix_millis;
 use crate::peer::Identity;
 use crate::steer::{
     Balancer, Delta, Feed, Fleet, RateLimiter, Replica, RetryBudgets, Table, TableIndex, TokenPool,
@@ -150,7 +151,7 @@
             Feed::Targets => state.apply_targets(now, bodies),
             Feed::Evacuations if !bodies.is_empty() => state.apply_evacuations(now),
             Feed::Evacuations => {}
-            Feed::Vms => state.apply_vms(bodies),
+            Feed::Vms => state.apply_vms(now, bodies),
         }
         None
     }
@@ -190,7 +191,7 @@
         self.balancer.set_evacuated_zones(now, zones);
     }
 
-    fn apply_vms(&mut self, bodies: Vec<(String, Option<Bytes>)>) {
+    fn apply_vms(&mut self, now: Duration, bodies: Vec<(String, Option<Bytes>)>) {
         for (name, body) in bodies {
             let vm = VmId::new(&name);
             match body.and_then(|b| decode::<VmRecord>("vms", &name, &b)) {
@@ -199,6 +200,8 @@
             }
         }
         self.retries.set_share(self.fleet.own_share());
+        let epoch = Duration::from_millis(unix_millis()).saturating_sub(now);
+        self.balancer.set_limit_share(now, self.fleet.limit_share(epoch));
     }
 
     /// Records whether an earlier incarnation of this VM had a record in the store. Only the first
--- a/src/peer/steering.rs
+++ b/src/peer/steering.rs
@@ -80,6 +80,9 @@
     /// True if the target rejected the request without running it.
     #[prost(bool, tag = "7")]
     pub rejected: bool,
+    /// The limit that the target names, in requests per second.
+    #[prost(double, optional, tag = "8")]
+    pub limit: Option<f64>,
 }
 
 /// The changes of one feed.
@@ -332,6 +335,7 @@
             age_ms: observation.age.as_millis() as u64,
             own: observation.own,
             rejected: observation.rejected,
+            limit: observation.limit,
         }
     }
 }
@@ -346,6 +350,7 @@
             pace: wire.pace,
             age: Duration::from_millis(wire.age_ms),
             rejected: wire.rejected,
+            limit: wire.limit.filter(|rate| rate.is_finite() && *rate >= 0.0),
         }
     }
 }
--- a/src/steer/balancer.rs
+++ b/src/steer/balancer.rs
@@ -16,8 +16,9 @@
 use super::region_weights::RegionWeights;
 use super::rendezvous::{name_hash, rendezvous_score, weighted_score};
 use super::spill_noise::SpillNoise;
+use super::target_limit::LimitShare;
 use super::zone_failures::ZoneFailures;
-use crate::model::{RegionId, TargetId, ZoneId};
+use crate::model::{RegionId, ServiceId, TargetId, ZoneId};
 
 /// Time for which a target is kept after its record has disappeared, if the store may have lost the
 /// record while the target still runs.
@@ -41,10 +42,14 @@
     /// Zones whose cold targets this entry VM may send to.
     paced_zones: BTreeSet<ZoneId>,
     zone_failures: HashMap<ZoneId, ZoneFailures>,
-    /// Removed targets that leave, by id: their records may come back.
+    /// Removed targets that leave or name a limit, by id: their records may come back.
     left: HashMap<TargetId, LeftTarget>,
     /// Observations of the zone's entry VMs, to be passed on.
     pub(super) observations: Observations,
+    /// This VM's part in the limits that targets name.
+    pub(super) limit_share: LimitShare,
+    /// When there will be room for the next caller that is rejected for the limits of a service's targets.
+    pub(super) room_at: HashMap<ServiceId, Duration>,
     /// Spreads the choices of entry VMs with the same information.
     pub(super) noise: SpillNoise,
 }
@@ -69,9 +74,8 @@
             None => {
                 let hash = name_hash(id.as_str().as_bytes());
                 let left = self.left.remove(&id).unwrap_or_default();
-                let notices = left.notices.for_incarnation(record.born_ms);
-                self.targets
-                    .insert(id, KnownTarget::new(record, hash, region, cold_until, notices));
+                let left = left.for_incarnation(record.born_ms);
+                self.targets.insert(id, KnownTarget::new(record, hash, region, cold_until, left));
             }
         }
     }
@@ -100,9 +104,8 @@
     fn forget(&mut self, now: Duration, id: &TargetId) {
         self.observations.forget(id);
         let Some(known) = self.targets.remove(id) else { return };
-        if known.notices.is_leaving() {
-            let left = LeftTarget { notices: known.notices, removed: now };
-            self.left.insert(id.clone(), left);
+        if known.notices.is_leaving() || known.limit.rate().is_some() {
+            self.left.insert(id.clone(), LeftTarget::new(&known, now));
         }
     }
 
@@ -120,7 +123,8 @@
             let mut notices = NoticeState::default();
             notices.record(now, origin, notice, sample);
             if notice.leaving {
-                self.left.insert(id.clone(), LeftTarget { notices, removed: now });
+                let left = self.left.entry(id.clone()).or_default();
+                (left.notices, left.removed) = (notices, now);
             }
             return;
         };
@@ -181,7 +185,8 @@
             .iter()
             .filter(|(id, k)| self.is_allowed(k, request) && !request.avoid.contains(id))
             .filter(|(_, k)| k.trust == TargetTrust::Trusted && k.cold_until <= now)
-            .filter(|(_, k)| k.notices.pause_left(now).is_none());
+            .filter(|(_, k)| k.notices.pause_left(now).is_none())
+            .filter(|(_, k)| k.limit.admits(now, &self.limit_share));
         let ranked = usable.map(|(id, known)| {
             let proximity = if known.region == *request.region { OWN_REGION_WEIGHT } else { 1.0 };
             let regional =
@@ -195,11 +200,14 @@
             Some(Choice::Target(id, order)) => (Some(id.clone()), order),
             None => (self.pick_cold(now, request), 0),
         };
-        let Some((id, known)) = id.and_then(|id| self.targets.get_key_value(&id)) else {
-            return self.pause_left(now, request).map_or(PickResult::NoTarget, PickResult::Paused);
+        let Some(id) = id else {
+            let pause = self.pause_left(now, request);
+            let limited = self.reject_limited(now, request);
+            return limited.or(pause.map(PickResult::Paused)).unwrap_or(PickResult::NoTarget);
         };
+        let Some(known) = self.targets.get_mut(&id) else { return PickResult::NoTarget };
+        known.limit.record_sent(now, &self.limit_share);
         PickResult::Target(Pick {
-            id: id.clone(),
             addr: known.record.addr,
             born_ms: known.record.born_ms,
             restarts: known.restarts,
@@ -208,15 +216,19 @@
             queue: known.load.queue_ahead(now),
             order,
             age: known.load.observation_age(now),
+            id,
         })
     }
 
     /// Why no target can serve the request in time, whichever [`Self::pick`] would choose; `None` if
-    /// one may, or while no target is known after a start. Nothing is counted or reserved.
-    pub fn refusal(&self, now: Duration, request: &PickRequest<'_>) -> Option<PickResult> {
+    /// one may, or while no target is known after a start. No target is reserved.
+    pub fn refusal(&mut self, now: Duration, request: &PickRequest<'_>) -> Option<PickResult> {
         let allowed = self.targets.values().filter(|k| self.is_allowed(k, request));
-        let refusal = refusal(now, request.time_left, allowed);
-        refusal.filter(|_| !self.targets.is_empty())
+        let refusal = refusal(now, request.time_left, &self.limit_share, allowed);
+        match refusal.filter(|_| !self.targets.is_empty())? {
+            PickResult::Limited(_) => self.reject_limited(now, request),
+            refusal => Some(refusal),
+        }
     }
 
     /// Time until the first pause ends of the targets that may run a request.
@@ -239,6 +251,7 @@
                 k.trust == TargetTrust::Trusted && self.paced_zones.contains(&k.record.zone)
             })
             .filter(|(_, k)| k.next_cold_send <= now && k.notices.pause_left(now).is_none())
+            .filter(|(_, k)| k.limit.admits(now, &self.limit_share))
             .max_by_key(|(_, k)| rendezvous_score(request.affinity, k.hash))
             .map(|(id, _)| id.clone())?;
         let known = self.targets.get_mut(&id)?;
@@ -247,7 +260,7 @@
         Some(id)
     }
 
-    fn is_allowed(&self, known: &KnownTarget, request: &PickRequest<'_>) -> bool {
+    pub(super) fn is_allowed(&self, known: &KnownTarget, request: &PickRequest<'_>) -> bool {
         known.record.service == *request.service
             && known.record.state == TargetReadiness::Ready
             && !known.notices.is_leaving()
@@ -358,6 +371,7 @@
             match known.trust {
                 TargetTrust::Unproven { due, failures } if due <= now && allowed => {
                     known.trust = TargetTrust::Probing { failures };
+                    known.limit.record_sent(now, &self.limit_share);
                     out.push(DueProbe {
                         id: id.clone(),
                         addr: known.record.addr,
--- a/src/steer/fleet.rs
+++ b/src/steer/fleet.rs
@@ -16,6 +16,7 @@
 use std::time::Duration;
 
 use super::rendezvous::{NameHash, name_hash, rendezvous_score};
+use super::target_limit::LimitShare;
 use super::vm_record::{Liveness, VmRecord};
 use crate::model::{Place, RegionId, VmId, ZoneId};
 
@@ -33,6 +34,8 @@
 /// Liveness of this many times the VMs that look-ups return is passed on, so that others can take
 /// the place of those that end.
 const LIVENESS_FACTOR: usize = 2;
+/// Fraction of a target's limit that the VMs which look-ups don't return have together.
+const STANDBY_LIMIT_RATIO: f64 = 0.1;
 /// Rendezvous key that chooses the VMs that look-ups return.
 const CALLER_ORDER: &[u8] = b"callers";
 /// Rendezvous key that chooses the pool VM.
@@ -199,6 +202,15 @@
         1.0 / owners.sum::<usize>().max(1) as f64
     }
 
+    /// This VM's part in every limit that a target names, for a machine that started at `epoch` after the
+    /// Unix epoch. A VM that look-ups don't return has a small one, since callers may still use it.
+    pub fn limit_share(&self, epoch: Duration) -> LimitShare {
+        let vms = self.vms.len().max(1) as f64;
+        let fraction = self.own_share().max(STANDBY_LIMIT_RATIO / vms);
+        let before = self.vms.range(..&self.me).count() as f64;
+        LimitShare { fraction, place: before / vms, epoch }
+    }
+
     /// Excludes a VM for a while, since it did not respond.
     pub fn mark_unresponsive(&mut self, now: Duration, vm: &VmId) {
         self.avoided.insert(vm.clone(), now + UNRESPONSIVE_BACKOFF);
--- a/src/steer/known.rs
+++ b/src/steer/known.rs
@@ -80,21 +80,37 @@
     pub(super) expires: Option<Duration>,
 }
 
-/// What is remembered of a removed target that leaves.
+/// What is remembered of a removed target that leaves or names a limit.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct LeftTarget {
     pub(super) notices: NoticeState,
+    limit: TargetLimit,
+    /// The incarnation that named the limit, by its start in milliseconds since the Unix epoch.
+    born_ms: u64,
     /// When it was removed.
     pub(super) removed: Duration,
 }
 
+impl LeftTarget {
+    pub(super) fn new(known: &KnownTarget, removed: Duration) -> Self {
+        let (notices, limit, born_ms) = (known.notices, known.limit, known.record.born_ms);
+        Self { notices, limit, born_ms, removed }
+    }
+
+    /// What still holds for the incarnation that started at `born_ms`.
+    pub(super) fn for_incarnation(self, born_ms: u64) -> Self {
+        let limit = if self.born_ms == born_ms { self.limit } else { TargetLimit::default() };
+        Self { notices: self.notices.for_incarnation(born_ms), limit, ..self }
+    }
+}
+
 impl KnownTarget {
     pub(super) fn new(
         record: TargetRecord,
         hash: NameHash,
         region: RegionId,
         cold_until: Duration,
-        notices: NoticeState,
+        left: LeftTarget,
     ) -> Self {
         Self {
             load: TargetLoad::new(record.slots),
@@ -107,8 +123,8 @@
             cold_until,
             next_cold_send: Duration::ZERO,
             backoff: FailureBackoff::default(),
-            notices,
-            limit: TargetLimit::default(),
+            notices: left.notices,
+            limit: left.limit,
             expires: None,
         }
     }
@@ -141,6 +157,7 @@
             pace: self.load.pace_percent(now),
             age: Duration::ZERO,
             rejected: false,
+            limit: self.limit.rate(),
         }
     }
 
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -8,7 +8,7 @@
 //!   leaves room for customers bound to a region.
 //! - [`Observation`] is what the entry VMs of a zone tell each other of a target's load.
 //! - [`TargetNotice`] is what a target says of itself in a response; [`LimitNotice`] is the limit of
-//!   requests per second that it names there.
+//!   requests per second that it names there, and [`LimitShare`] this VM's part in it.
 //! - [`RateLimiter`] and [`TokenPool`] keep each customer's rate over all entry VMs.
 //! - [`RankClasses`] says which requests come first when there are too few tokens or retries;
 //!   [`TokenQueue`] holds those that wait for a token.
@@ -84,6 +84,6 @@
     Access, Customer, KeyHash, RequestLimits, Route, Service, Table, TableIndex, WeightedService,
     key_hash,
 };
-pub use target_limit::LimitNotice;
+pub use target_limit::{LimitNotice, LimitShare};
 pub use token_queue::{Ticket, TokenQueue};
 pub use vm_record::{Liveness, VmRecord};
--- a/src/steer/observations.rs
+++ b/src/steer/observations.rs
@@ -23,7 +23,7 @@
 const CURSOR_TTL: Duration = Duration::from_secs(10);
 
 /// What one entry VM saw of a target in a response.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Observation {
     /// The target.
     pub target: TargetId,
@@ -39,6 +39,8 @@
     pub age: Duration,
     /// True if the target rejected the request without running it.
     pub rejected: bool,
+    /// The limit that the target names, in requests per second; none if it names none.
+    pub limit: Option<f64>,
 }
 
 /// The newest observation of a target.
@@ -131,6 +133,7 @@
     newest.requests != requests
         || newest.pace.abs_diff(pace) >= PACE_CHANGE
         || newest.rejected != seen.newest.rejected
+        || newest.limit != seen.newest.limit
         || newest.born_ms != seen.newest.born_ms
         || at.saturating_sub(passed_on_at) >= REFRESH_INTERVAL
 }
--- a/src/steer/pick.rs
+++ b/src/steer/pick.rs
@@ -38,6 +38,9 @@
     /// Every target that may run the request wants no requests now. The value is the time until the
     /// first of these pauses ends.
     Paused(Duration),
+    /// Only targets at their limits could run the request. The value is the time until there will be room
+    /// for it, if all that were rejected before return in time.
+    Limited(Duration),
     /// No target is allowed and usable.
     NoTarget,
 }
--- a/src/steer/sharing.rs
+++ b/src/steer/sharing.rs
@@ -10,6 +10,7 @@
 use super::observations::{OBSERVATION_AGE_MAX, Observation};
 use super::pick::Pick;
 use super::spill_noise::SpillNoise;
+use super::target_limit::LimitNotice;
 use crate::model::{RegionId, ServiceId, TargetId, VmId};
 
 /// Age up to which another VM's rejection starts a backoff here.
@@ -78,6 +79,8 @@
             return;
         }
         known.load.record_pace(at, observation.pace);
+        let limit = observation.limit.map_or(LimitNotice::Absent, LimitNotice::Named);
+        known.limit.record(at, limit, &self.limit_share);
         // A target with a free slot has no cause to reject all requests, so the rejection says
         // nothing of this VM's.
         let is_loaded = f64::from(observation.requests) >= known.load.slots();
--- a/src/steer/target_limit.rs
+++ b/src/steer/target_limit.rs
@@ -1,4 +1,12 @@
-//! The limit of requests per second that a target names for all entry VMs together.
+//! The limit of requests per second that a target names for all entry VMs together, and when this VM
+//! may send to it.
+//!
+//! Load pattern: targets in need name a few requests per second, much less than one for each VM. Each VM
+//! owns a share of the limit, and takes turns of its own: one request in each turn, at intervals that
+//! follow from the share. The turns of all VMs are spread evenly by the time of day; where clocks differ,
+//! they only come closer together. No message is needed, so the bound holds whatever VMs are cut off from
+//! each other. A turn that isn't used in time is lost: otherwise all VMs could send at once after a time
+//! without requests.
 
 use std::time::Duration;
 
@@ -10,6 +18,12 @@
 /// Least limit that is kept, in requests per second. A target that takes none is asked again at this
 /// rate, since only its responses tell when the limit ends.
 const RATE_MIN: f64 = 0.1;
+/// Fraction of a limit that entry VMs use. The rest is for VMs that count the others differently.
+const USED_RATIO: f64 = 0.9;
+/// Time for which a turn can be used.
+const TURN_TTL: Duration = Duration::from_millis(1_500);
+/// Longest interval between two turns.
+const INTERVAL_MAX: Duration = Duration::from_secs(3_600);
 
 /// What a response says of its target's limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -41,6 +55,25 @@
     (rate.is_finite() && rate >= 0.0).then_some(rate)
 }
 
+/// This VM's part in the limits that targets name.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct LimitShare {
+    /// Its fraction of every limit.
+    pub fraction: f64,
+    /// Its place among all entry VMs, from 0 to 1.
+    pub place: f64,
+    /// Time from the Unix epoch to the machine's start, by this VM's clock.
+    pub epoch: Duration,
+}
+
+impl LimitShare {
+    /// The first turn from `at` on, for turns at this `interval`.
+    fn turn_from(&self, at: Duration, interval: Duration) -> Duration {
+        let turns = (self.epoch + at).as_secs_f64() / interval.as_secs_f64() + self.place;
+        at + interval.mul_f64(turns.ceil() - turns)
+    }
+}
+
 /// The limit of one incarnation of a target.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct TargetLimit {
@@ -48,6 +81,10 @@
     rate: Option<f64>,
     /// When a response last named it.
     named_at: Duration,
+    /// When this VM's next turn begins; meaningless without a limit.
+    next_turn: Duration,
+    /// When this VM last used a turn; none before the first.
+    used_at: Option<Duration>,
 }
 
 impl TargetLimit {
@@ -56,8 +93,8 @@
         self.rate
     }
 
-    /// Takes what a response said at `at`. Returns true if the limit has changed.
-    pub(super) fn record(&mut self, at: Duration, notice: LimitNotice) -> bool {
+    /// Takes what a response said at `at`, and returns true if the limit has changed.
+    pub(super) fn record(&mut self, at: Duration, notice: LimitNotice, share: &LimitShare) -> bool {
         let before = self.rate;
         match notice {
             LimitNotice::Named(rate) if at >= self.named_at => {
@@ -67,6 +104,51 @@
             LimitNotice::Absent if at >= self.named_at + OVERTAKING_MAX => self.rate = None,
             _ => {}
         }
-        self.rate != before
+        let changed = self.rate != before;
+        if changed {
+            self.plan(at, share);
+        }
+        changed
+    }
+
+    /// Plans the next turn anew, since the interval has changed.
+    pub(super) fn plan(&mut self, now: Duration, share: &LimitShare) {
+        let interval = self.interval(share);
+        // Limits that change often must not bring turns closer together.
+        let earliest = self.used_at.map_or(now, |at| now.max(at + interval / 2));
+        self.next_turn = share.turn_from(earliest, interval);
+    }
+
+    /// Time until this VM may send a request; none without a limit.
+    pub(super) fn wait(&self, now: Duration, share: &LimitShare) -> Option<Duration> {
+        self.rate?;
+        Some(self.next_turn(now, self.interval(share)).saturating_sub(now))
+    }
+
+    /// True if this VM may send a request now.
+    pub(super) fn admits(&self, now: Duration, share: &LimitShare) -> bool {
+        self.wait(now, share).is_none_or(|wait| wait.is_zero())
+    }
+
+    /// Uses a turn for a request that is sent now.
+    pub(super) fn record_sent(&mut self, now: Duration, share: &LimitShare) {
+        if self.rate.is_some() {
+            self.used_at = Some(now);
+            let interval = self.interval(share);
+            self.next_turn = self.next_turn(now, interval) + interval;
+        }
+    }
+
+    /// Time between two of this VM's turns.
+    pub(super) fn interval(&self, share: &LimitShare) -> Duration {
+        let rate = self.rate.unwrap_or_default() * USED_RATIO * share.fraction;
+        Duration::try_from_secs_f64(1.0 / rate).map_or(INTERVAL_MAX, |i| i.min(INTERVAL_MAX))
+    }
+
+    /// When the first turn begins that can still be used.
+    fn next_turn(&self, now: Duration, interval: Duration) -> Duration {
+        let overdue = now.saturating_sub(self.next_turn + TURN_TTL);
+        let lost = (overdue.as_secs_f64() / interval.as_secs_f64()).ceil();
+        self.next_turn + interval.mul_f64(lost)
     }
 }
--- a/tests/even_load/mod.rs
+++ b/tests/even_load/mod.rs
@@ -232,6 +232,7 @@
             pace: target.pace(now),
             age: Duration::ZERO,
             rejected: false,
+            limit: None,
         };
         let exact: Vec<_> = self.targets.iter().enumerate().map(exact).collect();
         self.vms[vm].merge_observations(ms(now), ms(now), &"all".into(), exact);
--- a/tests/steer_observations.rs
+++ b/tests/steer_observations.rs
@@ -71,6 +71,7 @@
         pace: 100,
         age: ms(0),
         rejected: false,
+        limit: None,
     }
 }
 
--- a/tests/steer_targets.rs
+++ b/tests/steer_targets.rs
@@ -69,7 +69,7 @@
     fn pick(&self, balancer: &mut Balancer, now: Duration, key: &str) -> Option<TargetId> {
         match self.pick_result(balancer, now, key) {
             PickResult::Target(pick) => Some(pick.id),
-            PickResult::Busy(_) | PickResult::Paused(_) | PickResult::NoTarget => None,
+            _ => None,
         }
     }
 
@@ -77,7 +77,7 @@
         balancer.pick(now, &self.with_key(key))
     }
 
-    fn refusal(&self, balancer: &Balancer, now: Duration) -> Option<PickResult> {
+    fn refusal(&self, balancer: &mut Balancer, now: Duration) -> Option<PickResult> {
         balancer.refusal(now, &self.with_key("o"))
     }
 
@@ -263,7 +263,7 @@
 fn a_request_that_no_target_can_serve_is_known_before_the_choice() {
     let mut balancer = balancer(1);
     let request = Request { time_left: ms(1_500), ..Request::default() };
-    assert_eq!(request.refusal(&balancer, ms(10)), None);
+    assert_eq!(request.refusal(&mut balancer, ms(10)), None);
     let PickResult::Target(pick) = request.pick_result(&mut balancer, ms(10), "o") else {
         panic!("a target")
     };
@@ -271,15 +271,15 @@
     balancer.record_load(ms(30), &id(0), 24);
     let busy = request.pick_result(&mut balancer, ms(40), "o");
     assert!(matches!(busy, PickResult::Busy(_)));
-    assert_eq!(request.refusal(&balancer, ms(40)), Some(busy));
+    assert_eq!(request.refusal(&mut balancer, ms(40)), Some(busy));
     balancer.put(ms(50), id(1), record(1, "b"));
-    assert_eq!(request.refusal(&balancer, ms(60)), None, "another target can serve it");
+    assert_eq!(request.refusal(&mut balancer, ms(60)), None, "another target can serve it");
     let elsewhere = Request { allowed_regions: Some(vec!["south".into()]), ..Request::default() };
-    assert_eq!(elsewhere.refusal(&balancer, ms(60)), Some(PickResult::NoTarget));
+    assert_eq!(elsewhere.refusal(&mut balancer, ms(60)), Some(PickResult::NoTarget));
     let mut cold = Balancer::new(HashMap::from([("a".into(), "north".into())]));
     cold.put(ms(0), id(0), TargetRecord { cold_ms: 5_000, ..record(0, "a") });
     cold.set_paced_zones(BTreeSet::from(["a".into()]));
-    assert_eq!([(); 2].map(|()| request.refusal(&cold, ms(10))), [None, None]);
+    assert_eq!([(); 2].map(|()| request.refusal(&mut cold, ms(10))), [None, None]);
     assert!(request.pick(&mut cold, ms(10), "o").is_some(), "its turn was not used up");
 }
 
@@ -336,7 +336,7 @@
                 balancer.record_sent(&pick.id);
                 Some(pick)
             }
-            PickResult::Busy(_) | PickResult::Paused(_) | PickResult::NoTarget => None,
+            _ => None,
         })
         .collect();
     for pick in &picks {
