--- a/src/front/news.rs
+++ b/src/front/news.rs
@@ -164,6 +164,12 @@
                 front.store_unreachable.store(false, Ordering::Relaxed);
                 // A watch that ends without events proves that nothing changed during its wait.
                 let waited = sent + watch_wait(feed);
+                if delta.mark < mark {
+                    let mark_read = delta.mark;
+                    log::warn!(
+                        "news: Feed {feed:?} is at {mark_read} in the store, here at {mark}."
+                    );
+                }
                 let unchanged = mark > 0 && delta.items.is_empty() && clock::now() >= waited;
                 front.apply_delta(feed, delta, if unchanged { waited } else { sent }, "store");
             }
