Replicas go by the store's era, so that a restored store is believed

Cause: revisions of before and after the restore were compared. A listing at a lower revision was taken for an old one and ignored, and the feed was listed again at once (5,362 times in 5 s); once the store's revision had passed the old mark, a watch went on from there and never saw what lay below. The class: a version that comes a second time. Change: a mark is an era and a revision. Of a later era, a replica takes a full state only; of an earlier one, nothing; a watch in another era than its mark's lists the feed again. Eras go with all that VMs pass on to each other, and with contents that are cached by revision. What a restore must not undo: an older configuration is not taken, nor passed on; a target that was removed is probed before it gets requests; one that drains stays so for its incarnation; a target that is missing is kept for 2.3 s, as after an outage; a lost evacuation holds for 8 s unless it is written again; entry VMs stay known, and each writes its lost record again.

--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -88,6 +88,8 @@
     stop: SetOnce<StopSchedule>,
     /// Set while this VM's reads of the store fail.
     pub(crate) store_unreachable: AtomicBool,
+    /// Notified when the store has lost this VM's record.
+    record_lost: Notify,
     /// The last final rejections, which a newer routing table may prove wrong.
     rejections: Mutex<RecentRejections>,
     /// Room for requests that wait for a newer proof of the routing table.
--- a/src/front/news.rs
+++ b/src/front/news.rs
@@ -64,6 +64,13 @@
     from: String,
 }
 
+/// The log line of a feed that was taken from a restored store.
+#[derive(Serialize)]
+struct StoreRestored {
+    feed: String,
+    era: u64,
+}
+
 /// Starts the tasks that write this VM's record, sync from other VMs and read the store.
 pub(crate) fn start(front: &Arc<Front>) {
     tokio::spawn(announce(front.clone()));
@@ -73,7 +80,7 @@
     }
 }
 
-/// Writes this VM's record; retries until the store has accepted it.
+/// Writes this VM's record, and again whenever the store has lost it.
 async fn announce(front: Arc<Front>) {
     let record = VmRecord {
         place: front.place.clone(),
@@ -85,12 +92,18 @@
     let mut first = true;
     loop {
         match front.source.announce(&front.me.vm, &record).await {
-            // After a lost response, the replaced record may be this incarnation's own.
-            Ok(replaced) => return front.state.lock().set_rejoined(first && replaced),
-            Err(e) => log::warn!("news: writing this VM's record failed: {e}."),
+            Ok(replaced) => {
+                // After a lost response, the replaced record may be this incarnation's own.
+                front.state.lock().set_rejoined(first && replaced);
+                front.record_lost.notified().await;
+                log::warn!("news: The store has lost this VM's record; it is written again.");
+            }
+            Err(e) => {
+                log::warn!("news: writing this VM's record failed: {e}.");
+                sleep(ANNOUNCE_RETRY_INTERVAL).await;
+            }
         }
         first = false;
-        sleep(ANNOUNCE_RETRY_INTERVAL).await;
     }
 }
 
@@ -138,9 +151,9 @@
         }
         let sent = clock::now();
         let mark = front.state.lock().feeds[feed as usize].mark();
-        let read = match mark {
+        let read = match mark.revision {
             0 => front.source.list(feed).await,
-            mark => front.source.changes(feed, mark, watch_wait(feed)).await,
+            _ => front.source.changes(feed, mark, watch_wait(feed)).await,
         };
         let read = match read {
             Err(e) if e.compacted => {
@@ -170,7 +183,8 @@
                         "news: Feed {feed:?} is at {mark_read} in the store, here at {mark}."
                     );
                 }
-                let unchanged = mark > 0 && delta.items.is_empty() && clock::now() >= waited;
+                let unchanged =
+                    mark.revision > 0 && delta.items.is_empty() && clock::now() >= waited;
                 front.apply_delta(feed, delta, if unchanged { waited } else { sent }, "store");
             }
             Err(e) => {
@@ -327,11 +341,13 @@
     vms_only: bool,
     timeout: Duration,
 ) -> Result<SyncResponse, String> {
-    let marks = front.state.lock().feeds.iter().map(|f| f.mark()).collect();
+    let held = front.state.lock().feeds.each_ref().map(|f| f.mark());
+    let (marks, eras) = held.iter().map(|mark| (mark.revision, mark.era)).unzip();
     let callers = front.config.listen.callers.to_string();
     let serving = front.is_serving();
     let observations = front.observations_to_leader(vm);
-    let request = SyncRequest { marks, callers, serving, vms_only, observations, deflate: true };
+    let deflate = true;
+    let request = SyncRequest { marks, callers, serving, vms_only, observations, deflate, eras };
     let request = Body::SyncRequest(request);
     match front.sessions.call(vm, addr, request, timeout).await {
         Ok(Body::SyncResponse(response)) => Ok(response),
@@ -347,9 +363,11 @@
         let liveness: Vec<_> = response.live.iter().filter_map(|w| w.to_liveness()).collect();
         self.state.lock().fleet.merge_liveness(now, liveness);
         for update in response.feeds {
-            if let Some((feed, age, delta)) = update.to_delta() {
+            let Some((feed, age, delta)) = update.to_delta() else { continue };
+            let items = delta.items.clone();
+            self.apply_delta(feed, delta, sent.saturating_sub(age), from);
+            if self.state.holds(feed, &items) {
                 self.contents.keep(&update);
-                self.apply_delta(feed, delta, sent.saturating_sub(age), from);
             }
         }
     }
@@ -357,7 +375,15 @@
     /// Applies an update of a feed that was current at `as_of`, and logs a new routing table.
     fn apply_delta(&self, feed: Feed, delta: Delta, as_of: Duration, from: &str) {
         let now = clock::now();
-        let Some(version) = self.state.apply_delta(now, feed, delta, as_of) else { return };
+        let era = delta.mark.era;
+        let applied = self.state.apply_delta(now, feed, delta, as_of);
+        if applied.restored {
+            self.decision_log.log("restored", &StoreRestored { feed: format!("{feed:?}"), era });
+            if feed == Feed::Vms && !self.state.lock().has_record(&self.me) {
+                self.record_lost.notify_one();
+            }
+        }
+        let Some(version) = applied.version else { return };
         let age_ms = now.saturating_sub(as_of).as_millis() as u64;
         let accepted =
             TableAccepted { what: "configuration", version, age_ms, from: from.to_owned() };
--- a/src/front/probes.rs
+++ b/src/front/probes.rs
@@ -29,6 +29,7 @@
         let due = {
             let mut state = front.state.lock();
             state.balancer.expire(now);
+            state.expire_evacuations(now);
             let zones = match state.fleet.paces_cold_targets(now) {
                 true => [front.place.zone.clone()].into(),
                 false => Default::default(),
--- a/src/front/run.rs
+++ b/src/front/run.rs
@@ -99,6 +99,7 @@
             started: now,
             stop: SetOnce::new(),
             store_unreachable: AtomicBool::new(false),
+            record_lost: Notify::new(),
             rejections: Mutex::default(),
             proof_room: Semaphore::new(PROOF_WAITERS_MAX),
             in_flight: InFlight::default(),
--- a/src/front/sessions.rs
+++ b/src/front/sessions.rs
@@ -90,9 +90,10 @@
 }
 
 impl Front {
-    fn handle_sync(&self, from: &Identity, sync: SyncRequest) -> SyncResponse {
+    fn handle_sync(&self, from: &Identity, mut sync: SyncRequest) -> SyncResponse {
         let now = clock::now();
-        let observations = self.exchange_observations(from, sync.serving, sync.observations);
+        let observations = std::mem::take(&mut sync.observations);
+        let observations = self.exchange_observations(from, sync.serving, observations);
         let mut state = self.state.lock();
         if let Ok(callers) = sync.callers.parse() {
             let (vm, zone) = (from.vm.clone(), from.place.zone.clone());
@@ -111,7 +112,11 @@
         let wanted = Feed::ALL.into_iter().filter(|f| !sync.vms_only || *f == Feed::Vms);
         let feeds = wanted.filter_map(|feed| {
             let replica = &state.feeds[feed as usize];
-            let mark = sync.marks.get(feed as usize).copied().unwrap_or_default();
+            let mark = sync.mark(feed);
+            // The sender has learnt of a restore of the store that this VM hasn't.
+            if mark.era > replica.mark().era {
+                return None;
+            }
             let age = replica.age(now)?;
             Some(FeedUpdate::new(feed, age, replica.delta(mark)))
         });
--- a/src/front/source.rs
+++ b/src/front/source.rs
@@ -6,7 +6,7 @@
 use http::HeaderName;
 
 use crate::model::VmId;
-use crate::steer::{Delta, Feed, VmRecord};
+use crate::steer::{Delta, Feed, Mark, VmRecord};
 
 /// A failed request to the platform's store.
 #[derive(Debug, thiserror::Error)]
@@ -18,7 +18,8 @@
     pub peer: String,
     /// The cause, for logs.
     pub cause: String,
-    /// True if the store has compacted the requested changes: the feed must be listed again.
+    /// True if the store has compacted the requested changes, or was restored since their mark: the feed
+    /// must be listed again.
     pub compacted: bool,
 }
 
@@ -31,11 +32,12 @@
     /// Fails if the store doesn't respond or responds with an error.
     async fn list(&self, feed: Feed) -> Result<Delta, SourceError>;
 
-    /// Waits at most `wait` for changes after revision `mark`.
+    /// Waits at most `wait` for changes after `mark`.
     ///
     /// # Errors
-    /// Fails if the store doesn't respond, responds with an error, or has compacted the changes.
-    async fn changes(&self, feed: Feed, mark: u64, wait: Duration) -> Result<Delta, SourceError>;
+    /// Fails if the store doesn't respond, responds with an error, has compacted the changes, or is not in
+    /// the mark's era.
+    async fn changes(&self, feed: Feed, mark: Mark, wait: Duration) -> Result<Delta, SourceError>;
 
     /// Writes the record of an entry VM. Returns true if it replaced an existing one.
     ///
--- a/src/front/state.rs
+++ b/src/front/state.rs
@@ -1,13 +1,14 @@
 //! The state of a front: replicas of the store's feeds, and the steering types that are updated
 //! from them.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
 use bytes::Bytes;
+use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use tokio::sync::Notify;
 
@@ -15,8 +16,8 @@
 use crate::node::unix_millis;
 use crate::peer::Identity;
 use crate::steer::{
-    Balancer, Delta, Feed, Fleet, RateLimiter, Replica, RetryBudgets, Table, TableIndex, TokenPool,
-    TokenQueue, VmRecord,
+    Balancer, Delta, Feed, Fleet, Item, RateLimiter, Replica, RetryBudgets, Table, TableIndex,
+    TokenPool, TokenQueue, VmRecord,
 };
 use crate::targets::CrashTracker;
 
@@ -28,6 +29,9 @@
 /// Time after a store outage for which removals of targets are not trusted.
 const RECOVERY_PERIOD: Duration = Duration::from_millis(2_300);
 
+/// Time for which an evacuation holds that a restored store has lost.
+const LOST_EVACUATION_TTL: Duration = Duration::from_secs(8);
+
 /// Time after its start for which a new VM doesn't use its share of the rates, so that the others
 /// can learn of it first.
 const JOIN_DELAY: Duration = Duration::from_secs(5);
@@ -60,6 +64,8 @@
     pub(crate) crashes: CrashTracker,
     /// Until then, removals of targets are not trusted: the records may come back.
     recovering_until: Duration,
+    /// Evacuated zones that a restored store has lost, and until when they count all the same.
+    lost_evacuations: BTreeMap<ZoneId, Duration>,
     /// Whether an earlier incarnation of this VM had a record in the store; none until known.
     rejoined: Option<bool>,
 }
@@ -74,6 +80,21 @@
     pub(crate) table_proof: Notify,
 }
 
+/// What an update of a feed has changed.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct AppliedDelta {
+    /// The routing table's version, if the update brought a newer one.
+    pub(crate) version: Option<u64>,
+    /// True if the store was restored since the update before.
+    pub(crate) restored: bool,
+}
+
+/// The version of a routing table, without its other parts.
+#[derive(Deserialize)]
+struct TableVersion {
+    version: u64,
+}
+
 impl FrontState {
     pub(crate) fn new(config: &FrontConfig, now: Duration) -> Self {
         let regions: HashMap<ZoneId, _> =
@@ -89,6 +110,7 @@
             retries: RetryBudgets::new(config.retry_bounds()),
             crashes: CrashTracker::default(),
             recovering_until: Duration::ZERO,
+            lost_evacuations: BTreeMap::new(),
             rejoined: None,
         };
         Self {
@@ -118,21 +140,34 @@
         self.superseded.load(Ordering::Relaxed)
     }
 
-    /// Applies an update of a feed that was current at `as_of`. Returns the routing table's version
-    /// if the update brings a newer one.
+    /// True if the feed's copy holds just these contents of these objects.
+    pub(crate) fn holds(&self, feed: Feed, items: &[Item]) -> bool {
+        let state = self.lock();
+        let replica = &state.feeds[feed as usize];
+        items.iter().all(|item| replica.get(&item.name) == item.body.as_ref())
+    }
+
+    /// Applies an update of a feed that was current at `as_of`.
     pub(crate) fn apply_delta(
         &self,
         now: Duration,
         feed: Feed,
-        delta: Delta,
+        mut delta: Delta,
         as_of: Duration,
-    ) -> Option<u64> {
+    ) -> AppliedDelta {
         let mut state = self.lock();
         let outage =
             state.feeds[Feed::Table as usize].age(now).is_some_and(|age| age > STORE_OUTAGE_AGE);
-        if outage {
+        let restored = delta.full && state.feeds[feed as usize].is_restored_by(&delta);
+        if outage || restored {
             state.recovering_until = now + RECOVERY_PERIOD;
         }
+        if feed == Feed::Table {
+            self.keep_newest_table(&state.feeds[feed as usize], &mut delta, restored);
+        }
+        if feed == Feed::Evacuations && restored {
+            state.keep_lost_evacuations(now, &delta);
+        }
         let changed = state.feeds[feed as usize].apply(delta, as_of);
         let replica = &state.feeds[feed as usize];
         let with_body = |name: String| {
@@ -144,16 +179,35 @@
             Feed::Table => {
                 let index = self.apply_table(bodies);
                 self.table_proof.notify_waiters();
-                let index = index?;
-                state.balancer.set_regional_demand(index.regional_demand());
-                return Some(index.table().version);
+                if let Some(index) = &index {
+                    state.balancer.set_regional_demand(index.regional_demand());
+                }
+                let version = index.map(|index| index.table().version);
+                return AppliedDelta { version, restored };
             }
-            Feed::Targets => state.apply_targets(now, bodies),
+            Feed::Targets => state.apply_targets(now, bodies, restored),
             Feed::Evacuations if !bodies.is_empty() => state.apply_evacuations(now),
             Feed::Evacuations => {}
-            Feed::Vms => state.apply_vms(now, bodies),
+            Feed::Vms => state.apply_vms(now, bodies, restored),
+        }
+        AppliedDelta { version: None, restored }
+    }
+
+    /// Puts the held routing table in place of an older one, or of none, which a restored store has until
+    /// the operator writes the newer one again. Other VMs get it from here meanwhile.
+    fn keep_newest_table(&self, held: &Replica, delta: &mut Delta, restored: bool) {
+        let Some(version) = self.index.load().as_ref().map(|i| i.table().version) else { return };
+        let Some(held) = held.get(TABLE_NAME) else { return };
+        for body in delta.items.iter_mut().filter_map(|item| item.body.as_mut()) {
+            let read: Option<TableVersion> = serde_json::from_slice(body).ok();
+            if read.is_some_and(|read| read.version < version) {
+                *body = held.clone();
+            }
+        }
+        if restored && delta.items.is_empty() {
+            let (name, revision) = (TABLE_NAME.to_owned(), delta.mark.revision);
+            delta.items.push(Item { name, revision, body: Some(held.clone()) });
         }
-        None
     }
 
     /// Puts the received routing table in force if it is newer than the present one.
@@ -174,11 +228,17 @@
 }
 
 impl SharedState {
-    fn apply_targets(&mut self, now: Duration, bodies: Vec<(String, Option<Bytes>)>) {
+    fn apply_targets(
+        &mut self,
+        now: Duration,
+        bodies: Vec<(String, Option<Bytes>)>,
+        restored: bool,
+    ) {
         let confirmed = self.recovering_until <= now;
         for (name, body) in bodies {
             let id = TargetId::new(&name);
             match body.and_then(|b| decode("targets", &name, &b)) {
+                Some(record) if restored => self.balancer.put_restored(now, id, record),
                 Some(record) => self.balancer.put(now, id, record),
                 None => self.balancer.remove(now, &id, confirmed),
             }
@@ -187,15 +247,39 @@
 
     fn apply_evacuations(&mut self, now: Duration) {
         let items = self.feeds[Feed::Evacuations as usize].items();
-        let zones: BTreeSet<ZoneId> = items.map(|(name, _)| ZoneId::new(name)).collect();
+        let mut zones: BTreeSet<ZoneId> = items.map(|(name, _)| ZoneId::new(name)).collect();
+        self.lost_evacuations.retain(|zone, _| !zones.contains(zone));
+        zones.extend(self.lost_evacuations.keys().cloned());
         self.balancer.set_evacuated_zones(now, zones);
     }
 
-    fn apply_vms(&mut self, now: Duration, bodies: Vec<(String, Option<Bytes>)>) {
+    /// Keeps the evacuations that a restored store has lost: the operator writes them again.
+    fn keep_lost_evacuations(&mut self, now: Duration, delta: &Delta) {
+        let held = self.feeds[Feed::Evacuations as usize].items();
+        let lost = held.filter(|(name, _)| delta.items.iter().all(|item| item.name != *name));
+        let until = now + LOST_EVACUATION_TTL;
+        self.lost_evacuations.extend(lost.map(|(name, _)| (ZoneId::new(name), until)));
+    }
+
+    /// Ends evacuations that a restored store has lost and that nobody has written again.
+    pub(crate) fn expire_evacuations(&mut self, now: Duration) {
+        let before = self.lost_evacuations.len();
+        self.lost_evacuations.retain(|_, until| *until > now);
+        if self.lost_evacuations.len() != before {
+            self.apply_evacuations(now);
+        }
+    }
+
+    /// Applies changes of the entry VMs' records. A record that a restored store has lost still holds, and
+    /// so does one that has become older: its VM writes it again.
+    fn apply_vms(&mut self, now: Duration, bodies: Vec<(String, Option<Bytes>)>, restored: bool) {
         for (name, body) in bodies {
             let vm = VmId::new(&name);
+            let known = self.fleet.record(&vm).map(|known| known.incarnation);
             match body.and_then(|b| decode::<VmRecord>("vms", &name, &b)) {
+                Some(record) if known.is_some_and(|known| known > record.incarnation) => {}
                 Some(record) => self.fleet.put(vm, record),
+                None if restored => {}
                 None => self.fleet.remove(&vm),
             }
         }
@@ -204,6 +288,13 @@
         self.balancer.set_limit_share(now, self.fleet.limit_share(epoch));
     }
 
+    /// True if the store has this incarnation's record, as far as is known.
+    pub(crate) fn has_record(&self, me: &Identity) -> bool {
+        let body = self.feeds[Feed::Vms as usize].get(me.vm.as_str());
+        let record = body.and_then(|b| decode::<VmRecord>("vms", me.vm.as_str(), b));
+        record.is_some_and(|record| record.incarnation == me.incarnation)
+    }
+
     /// Records whether an earlier incarnation of this VM had a record in the store. Only the first
     /// call counts.
     pub(crate) fn set_rejoined(&mut self, rejoined: bool) {
--- a/src/peer/compression.rs
+++ b/src/peer/compression.rs
@@ -1,6 +1,6 @@
 //! Compression of large contents of feeds, such as the routing table, between entry VMs.
 //!
-//! A content is compressed once for each revision, however many VMs ask for it, and a VM passes on what it
+//! A content is compressed once for each revision of an era, however many VMs ask for it, and a VM passes on what it
 //! has received.
 
 use std::collections::HashMap;
@@ -13,6 +13,7 @@
 use flate2::write::DeflateEncoder;
 
 use super::steering::{FeedUpdate, WireItem};
+use crate::steer::Mark;
 
 /// Shortest content that is compressed, in bytes.
 const CONTENT_BYTES_MIN: usize = 4 << 10;
@@ -25,7 +26,8 @@
 /// A compressed content.
 #[derive(Debug)]
 struct Compressed {
-    revision: u64,
+    /// The state of the store in which the content was written.
+    mark: Mark,
     bytes: Bytes,
 }
 
@@ -38,42 +40,42 @@
     pub fn compress(&self, update: &mut FeedUpdate) {
         for item in &mut update.items {
             if item.body.as_ref().is_some_and(|body| body.len() >= CONTENT_BYTES_MIN) {
-                item.deflated =
-                    item.body.take().map(|body| self.compressed(update.feed, item, &body));
+                let mark = Mark { era: update.era, revision: item.revision };
+                let key = (update.feed, item.name.clone());
+                item.deflated = item.body.take().map(|body| self.compressed(key, mark, &body));
             }
         }
     }
 
-    /// Keeps the compressed contents of a received update.
+    /// Keeps the compressed contents of a received update, all of which are held here now.
     pub fn keep(&self, update: &FeedUpdate) {
-        for item in &update.items {
-            if let Some(bytes) = &item.deflated {
-                self.insert(update.feed, item, bytes.clone());
+        for WireItem { name, revision, deflated, .. } in &update.items {
+            if let Some(bytes) = deflated {
+                let mark = Mark { era: update.era, revision: *revision };
+                self.insert((update.feed, name.clone()), mark, bytes.clone());
             }
         }
     }
 
-    fn compressed(&self, feed: u32, item: &WireItem, body: &[u8]) -> Bytes {
-        let key = (feed, item.name.clone());
+    fn compressed(&self, key: ItemKey, mark: Mark, body: &[u8]) -> Bytes {
         let kept =
-            self.0.lock().expect("contents lock").get(&key).map(|c| (c.revision, c.bytes.clone()));
+            self.0.lock().expect("contents lock").get(&key).map(|c| (c.mark, c.bytes.clone()));
         match kept {
-            Some((revision, bytes)) if revision == item.revision => bytes,
+            Some((kept_mark, bytes)) if kept_mark == mark => bytes,
             _ => {
                 let bytes = compress(body);
-                self.insert(feed, item, bytes.clone());
+                self.insert(key, mark, bytes.clone());
                 bytes
             }
         }
     }
 
-    fn insert(&self, feed: u32, item: &WireItem, bytes: Bytes) {
+    fn insert(&self, key: ItemKey, mark: Mark, bytes: Bytes) {
         let mut contents = self.0.lock().expect("contents lock");
         if contents.len() >= KEPT_MAX {
             contents.clear();
         }
-        let compressed = Compressed { revision: item.revision, bytes };
-        contents.insert((feed, item.name.clone()), compressed);
+        contents.insert(key, Compressed { mark, bytes });
     }
 }
 
--- a/src/peer/steering.rs
+++ b/src/peer/steering.rs
@@ -9,7 +9,7 @@
 use super::compression::decompress;
 use crate::model::{CustomerId, TargetId, VmId, ZoneId};
 use crate::steer::{
-    CLASSES, Delta, Feed, Item, Liveness, Observation, RankClass, TokenGrant, TokenRequest,
+    CLASSES, Delta, Feed, Item, Liveness, Mark, Observation, RankClass, TokenGrant, TokenRequest,
 };
 use crate::targets::CrashReport;
 
@@ -34,6 +34,17 @@
     /// True if the sender reads compressed contents.
     #[prost(bool, tag = "6")]
     pub deflate: bool,
+    /// The store's era of each revision in `marks`.
+    #[prost(uint64, repeated, tag = "7")]
+    pub eras: Vec<u64>,
+}
+
+impl SyncRequest {
+    /// The mark of a feed that the sender has.
+    pub fn mark(&self, feed: Feed) -> Mark {
+        let get = |values: &[u64]| values.get(feed as usize).copied().unwrap_or_default();
+        Mark { era: get(&self.eras), revision: get(&self.marks) }
+    }
 }
 
 /// The updates of all feeds.
@@ -103,6 +114,9 @@
     /// The changed objects.
     #[prost(message, repeated, tag = "5")]
     pub items: Vec<WireItem>,
+    /// The store's era of all revisions in this update.
+    #[prost(uint64, tag = "6")]
+    pub era: u64,
 }
 
 /// A changed object of a feed.
@@ -284,9 +298,10 @@
         Self {
             feed: feed.number(),
             age_ms: age.as_millis() as u64,
-            mark: delta.mark,
+            mark: delta.mark.revision,
             full: delta.full,
             items: delta.items.into_iter().map(to_wire).collect(),
+            era: delta.mark.era,
         }
     }
 
@@ -295,7 +310,8 @@
     pub fn to_delta(&self) -> Option<(Feed, Duration, Delta)> {
         let mut room = FRAME_BYTES_MAX;
         let items = self.items.iter().map(|i| i.to_item(&mut room)).collect::<Option<_>>()?;
-        let delta = Delta { full: self.full, mark: self.mark, items };
+        let mark = Mark { era: self.era, revision: self.mark };
+        let delta = Delta { full: self.full, mark, items };
         Some((Feed::from_number(self.feed)?, Duration::from_millis(self.age_ms), delta))
     }
 }
--- a/src/steer/balancer.rs
+++ b/src/steer/balancer.rs
@@ -23,7 +23,7 @@
 /// Time for which a target is kept after its record has disappeared, if the store may have lost the
 /// record while the target still runs.
 const MISSING_RECORD_TTL: Duration = Duration::from_millis(2_300);
-/// Time for which it is remembered that a target without a record has said that it leaves.
+/// Time for which a target without a record is remembered.
 const LEFT_TTL: Duration = Duration::from_secs(600);
 /// Factor by which a target in this VM's region weighs more than one in another region.
 const OWN_REGION_WEIGHT: f64 = 5.0;
@@ -42,7 +42,7 @@
     /// Zones whose cold targets this entry VM may send to.
     paced_zones: BTreeSet<ZoneId>,
     zone_failures: HashMap<ZoneId, ZoneFailures>,
-    /// Removed targets that leave or name a limit, by id: their records may come back.
+    /// Removed targets, by id: their records may come back.
     left: HashMap<TargetId, LeftTarget>,
     /// Observations of the zone's entry VMs, to be passed on.
     pub(super) observations: Observations,
@@ -80,6 +80,16 @@
         }
     }
 
+    /// Adds or updates a target from its record in a restored store. One that was removed before is probed
+    /// before it gets requests: its record may be older than its end.
+    pub fn put_restored(&mut self, now: Duration, id: TargetId, record: TargetRecord) {
+        let is_removed = self.left.get(&id).is_some_and(|left| left.is_of(record.born_ms));
+        self.put(now, id.clone(), record);
+        if let Some(known) = self.targets.get_mut(&id).filter(|_| is_removed) {
+            known.trust = TargetTrust::Unproven { due: now, failures: 0 };
+        }
+    }
+
     /// Removes a target whose record the store no longer has. If not `certain`, the store may have
     /// lost records of running targets, and the target is kept for a while.
     pub fn remove(&mut self, now: Duration, id: &TargetId, certain: bool) {
@@ -104,9 +114,7 @@
     fn forget(&mut self, now: Duration, id: &TargetId) {
         self.observations.forget(id);
         let Some(known) = self.targets.remove(id) else { return };
-        if known.notices.is_leaving() || known.limit.rate().is_some() {
-            self.left.insert(id.clone(), LeftTarget::new(&known, now));
-        }
+        self.left.insert(id.clone(), LeftTarget::new(&known, now));
     }
 
     /// Takes what a target says of itself in a response. `sample` is a random number from 0 to 1.
--- a/src/steer/known.rs
+++ b/src/steer/known.rs
@@ -8,7 +8,7 @@
 use super::notice::NoticeState;
 use super::observations::Observation;
 use super::pick::Pick;
-use super::record::TargetRecord;
+use super::record::{TargetReadiness, TargetRecord};
 use super::rendezvous::NameHash;
 use super::target_limit::TargetLimit;
 use crate::model::{RegionId, ServiceId, TargetId};
@@ -80,12 +80,12 @@
     pub(super) expires: Option<Duration>,
 }
 
-/// What is remembered of a removed target that leaves or names a limit.
+/// What is remembered of a removed target.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct LeftTarget {
     pub(super) notices: NoticeState,
     limit: TargetLimit,
-    /// The incarnation that named the limit, by its start in milliseconds since the Unix epoch.
+    /// When its process started, in milliseconds since the Unix epoch; 0 if its record was never seen.
     born_ms: u64,
     /// When it was removed.
     pub(super) removed: Duration,
@@ -97,6 +97,11 @@
         Self { notices, limit, born_ms, removed }
     }
 
+    /// True if it is the incarnation that started at `born_ms`.
+    pub(super) fn is_of(&self, born_ms: u64) -> bool {
+        self.born_ms == born_ms
+    }
+
     /// What still holds for the incarnation that started at `born_ms`.
     pub(super) fn for_incarnation(self, born_ms: u64) -> Self {
         let limit = if self.born_ms == born_ms { self.limit } else { TargetLimit::default() };
@@ -130,7 +135,7 @@
     }
 
     /// Takes a new version of the record; a new incarnation starts clean.
-    pub(super) fn update(&mut self, record: TargetRecord, cold_until: Duration) {
+    pub(super) fn update(&mut self, mut record: TargetRecord, cold_until: Duration) {
         let restarted = self.record.born_ms != record.born_ms || self.record.addr != record.addr;
         if restarted {
             self.trust = TargetTrust::Trusted;
@@ -141,6 +146,10 @@
             self.limit = TargetLimit::default();
             self.load.forget_reports();
         }
+        if !restarted && self.record.state == TargetReadiness::Draining {
+            // A restored store may have an older record.
+            record.state = TargetReadiness::Draining;
+        }
         self.cold_until = if restarted { cold_until } else { cold_until.max(self.cold_until) };
         self.expires = None;
         self.load.set_slots(record.slots);
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -75,7 +75,7 @@
 pub use recent_rejections::{OverturnedRejection, RecentRejections, Rejection, RejectionReason};
 pub use record::{TargetReadiness, TargetRecord};
 pub use rendezvous::{NameHash, name_hash, rendezvous_score, weighted_score};
-pub use replica::{Delta, Feed, Item, Replica};
+pub use replica::{Delta, Feed, Item, Mark, Replica};
 pub use retries::{RetryBounds, RetryBudgets};
 pub use retry_after::rate_retry_after;
 pub use signal::{LoopTicks, SignalWindow};
--- a/src/steer/replica.rs
+++ b/src/steer/replica.rs
@@ -2,8 +2,12 @@
 //!
 //! A replica is updated from the store or from another entry VM's replica, and can give the changes
 //! since any revision to the next VM. It never goes back to an older state.
+//!
+//! A store that is restored from a backup gives out revisions again. Each restore starts a new era, and
+//! only revisions of one era can be compared: of another era, a replica takes a full state only.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::fmt;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -42,12 +46,27 @@
     }
 }
 
+/// A state of the store. Of two eras, the higher one is later whatever the revisions.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Mark {
+    /// Rises with each restore of the store; 0 if the store names none.
+    pub era: u64,
+    /// The store's revision; 0 before the first read.
+    pub revision: u64,
+}
+
+impl fmt::Display for Mark {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.era, self.revision)
+    }
+}
+
 /// One object of a feed, in the product's own JSON form.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Item {
     /// Its name.
     pub name: String,
-    /// The store's revision of its last change.
+    /// The store's revision of its last change, in the era of the update or replica that holds it.
     pub revision: u64,
     /// Its content as JSON; `None` if it was removed or can't be read.
     pub body: Option<Bytes>,
@@ -58,8 +77,8 @@
 pub struct Delta {
     /// True if `items` is the full state, so that every other object was removed.
     pub full: bool,
-    /// High-water mark: the store's revision up to which the changes are complete.
-    pub mark: u64,
+    /// High-water mark: the store's state up to which the changes are complete.
+    pub mark: Mark,
     /// The changed objects.
     pub items: Vec<Item>,
 }
@@ -73,17 +92,22 @@
     removals: VecDeque<(u64, String)>,
     /// All removals after this revision are in `removals`.
     removals_since: u64,
-    mark: u64,
+    mark: Mark,
     /// When the copy was last known to match the store; `None` before the first update.
     fresh_at: Option<Duration>,
 }
 
 impl Replica {
-    /// The store's revision up to which the copy is complete; 0 before the first update.
-    pub fn mark(&self) -> u64 {
+    /// The store's state up to which the copy is complete.
+    pub fn mark(&self) -> Mark {
         self.mark
     }
 
+    /// True if the store was restored between this copy and `delta`.
+    pub fn is_restored_by(&self, delta: &Delta) -> bool {
+        self.fresh_at.is_some() && delta.mark.era > self.mark.era
+    }
+
     /// Time since the copy was last known to match the store; `None` before the first update.
     pub fn age(&self, now: Duration) -> Option<Duration> {
         self.fresh_at.map(|f| now.saturating_sub(f))
@@ -100,8 +124,13 @@
     }
 
     /// Applies changes that matched the store at `fresh_at`, and returns the names of the objects
-    /// that changed here. A full state older than the copy is ignored.
+    /// that changed here. A full state older than the copy is ignored, and so is any update of an
+    /// earlier era, and changes of a later one.
     pub fn apply(&mut self, delta: Delta, fresh_at: Duration) -> Vec<String> {
+        if delta.mark.era != self.mark.era {
+            let replaces = delta.full && delta.mark.era > self.mark.era;
+            return if replaces { self.replace(delta, fresh_at) } else { Vec::new() };
+        }
         let behind = delta.mark < self.mark;
         if delta.full && behind {
             return Vec::new();
@@ -113,7 +142,7 @@
             let removed: Vec<String> =
                 self.items.keys().filter(|n| !kept.contains(n.as_str())).cloned().collect();
             for name in removed {
-                self.remove(&name, delta.mark, &mut changed);
+                self.remove(&name, delta.mark.revision, &mut changed);
             }
         }
         for item in delta.items {
@@ -123,19 +152,42 @@
             }
         }
         if !behind {
-            if delta.full && self.mark == 0 {
-                self.removals_since = delta.mark;
+            if delta.full && self.mark.revision == 0 {
+                self.removals_since = delta.mark.revision;
             }
-            self.mark = delta.mark;
-            self.fresh_at = Some(self.fresh_at.map_or(fresh_at, |f| f.max(fresh_at)));
+            self.set_mark(delta.mark, fresh_at);
         }
         changed
     }
 
-    /// The changes after revision `mark`, or the full state if not all removals since then are
-    /// kept.
-    pub fn delta(&self, mark: u64) -> Delta {
-        let full = mark == 0 || mark < self.removals_since;
+    /// Replaces the copy by the full state of a later era, and returns the names of the objects whose
+    /// contents differ.
+    fn replace(&mut self, delta: Delta, fresh_at: Duration) -> Vec<String> {
+        let mut old = std::mem::take(&mut self.items);
+        let mut changed = Vec::new();
+        for Item { name, revision, body } in delta.items {
+            let Some(body) = body else { continue };
+            if old.remove(&name).is_none_or(|(_, held)| held != body) {
+                changed.push(name.clone());
+            }
+            self.items.insert(name, (revision, body));
+        }
+        changed.extend(old.into_keys());
+        self.removals.clear();
+        self.removals_since = delta.mark.revision;
+        self.set_mark(delta.mark, fresh_at);
+        changed
+    }
+
+    fn set_mark(&mut self, mark: Mark, fresh_at: Duration) {
+        self.mark = mark;
+        self.fresh_at = Some(self.fresh_at.map_or(fresh_at, |f| f.max(fresh_at)));
+    }
+
+    /// The changes after `mark`, or the full state if not all removals since then are kept.
+    pub fn delta(&self, mark: Mark) -> Delta {
+        let Mark { era, revision: mark } = mark;
+        let full = mark == 0 || era != self.mark.era || mark < self.removals_since;
         let changed = self.items.iter().filter(|(_, (rev, _))| full || *rev > mark);
         let mut items: Vec<Item> = changed
             .map(|(name, (rev, body))| Item {
--- a/tests/slow_links.rs
+++ b/tests/slow_links.rs
@@ -14,7 +14,7 @@
     Body, CompressedContents, Dialer, Empty, ExplainRequest, ExplainResponse, FeedUpdate, Identity,
     PeerClient, PeerHandler, PeerServer, Secret,
 };
-use shallotstall::steer::{Delta, Feed, Item};
+use shallotstall::steer::{Delta, Feed, Item, Mark};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -159,7 +159,11 @@
         Item { name: "main".to_owned(), revision, body },
         Item { name: "gone".to_owned(), revision, body: None },
     ];
-    FeedUpdate::new(Feed::Table, TIMEOUT, Delta { full: false, mark: revision, items })
+    FeedUpdate::new(
+        Feed::Table,
+        TIMEOUT,
+        Delta { full: false, mark: Mark { era: 0, revision }, items },
+    )
 }
 
 #[test]
--- a/tests/steer_knowledge.rs
+++ b/tests/steer_knowledge.rs
@@ -9,14 +9,19 @@
 use proptest::prelude::*;
 use shallotstall::model::{CustomerId, Place, RegionId, VmId, ZoneId};
 use shallotstall::steer::{
-    Access, Customer, Delta, Fleet, Item, Liveness, RankClass, Replica, RequestLimits, RetryBounds,
-    RetryBudgets, Route, Table, TableIndex, VmRecord, WeightedService, key_hash,
+    Access, Customer, Delta, Fleet, Item, Liveness, Mark, RankClass, Replica, RequestLimits,
+    RetryBounds, RetryBudgets, Route, Table, TableIndex, VmRecord, WeightedService, key_hash,
 };
 
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
 
+/// A state of a store that was never restored.
+fn at(revision: u64) -> Mark {
+    Mark { era: 0, revision }
+}
+
 fn item(name: &str, revision: u64, body: Option<&str>) -> Item {
     let body = body.map(|b| Bytes::from(b.to_owned()));
     Item { name: name.to_owned(), revision, body }
@@ -29,14 +34,14 @@
 #[test]
 fn an_older_state_is_never_applied() {
     let mut replica = Replica::default();
-    let full = Delta { full: true, mark: 10, items: vec![item("a", 9, Some("new"))] };
+    let full = Delta { full: true, mark: at(10), items: vec![item("a", 9, Some("new"))] };
     replica.apply(full, ms(100));
-    let stale = Delta { full: true, mark: 5, items: vec![item("a", 4, Some("old"))] };
+    let stale = Delta { full: true, mark: at(5), items: vec![item("a", 4, Some("old"))] };
     assert!(replica.apply(stale, ms(200)).is_empty());
-    let late = Delta { full: false, mark: 6, items: vec![item("a", 6, None)] };
+    let late = Delta { full: false, mark: at(6), items: vec![item("a", 6, None)] };
     assert!(replica.apply(late, ms(300)).is_empty());
     assert_eq!(contents(&replica).len(), 1);
-    assert_eq!(replica.mark(), 10);
+    assert_eq!(replica.mark(), at(10));
     assert_eq!(
         replica.age(ms(400)),
         Some(ms(300)),
@@ -48,58 +53,106 @@
 fn objects_missing_from_a_full_state_are_removed() {
     let mut replica = Replica::default();
     let items = vec![item("a", 1, Some("x")), item("b", 2, Some("y"))];
-    replica.apply(Delta { full: true, mark: 2, items }, ms(0));
-    let next = Delta { full: true, mark: 7, items: vec![item("b", 2, Some("y"))] };
+    replica.apply(Delta { full: true, mark: at(2), items }, ms(0));
+    let next = Delta { full: true, mark: at(7), items: vec![item("b", 2, Some("y"))] };
     assert_eq!(replica.apply(next, ms(10)), ["a"]);
     // A peer at revision 2 gets the removal.
-    let delta = replica.delta(2);
+    let delta = replica.delta(at(2));
     assert!(!delta.full);
     assert_eq!(delta.items, [item("a", 7, None)]);
 }
 
+/// Guards against a copy that goes by revisions of before a restore.
+#[test]
+fn of_another_era_only_a_later_full_state_is_applied() {
+    let mark = |era, revision| Mark { era, revision };
+    let mut replica = Replica::default();
+    let old = Delta { full: true, mark: mark(1, 10), items: vec![item("a", 9, Some("old"))] };
+    assert!(!replica.is_restored_by(&old), "the first state");
+    replica.apply(old.clone(), ms(100));
+    let changes = Delta { full: false, mark: mark(2, 20), items: vec![item("a", 20, Some("x"))] };
+    assert!(replica.apply(changes, ms(200)).is_empty(), "changes since another history");
+    let items = vec![item("a", 4, Some("new")), item("b", 3, Some("y"))];
+    let restored = Delta { full: true, mark: mark(2, 5), items };
+    assert!(replica.is_restored_by(&restored));
+    assert_eq!(replica.apply(restored, ms(300)), ["a", "b"]);
+    assert!(replica.apply(old, ms(400)).is_empty(), "an earlier era");
+    assert_eq!((replica.mark(), replica.age(ms(400))), (mark(2, 5), Some(ms(100))));
+    assert!(replica.delta(mark(1, 5)).full, "for a VM that knows the earlier era");
+    assert!(!replica.delta(mark(2, 5)).full);
+}
+
 /// A change in the store: a name among a few, and whether it is put or removed.
 fn change() -> impl Strategy<Value = (u8, bool)> {
     (0..5u8, any::<bool>())
 }
 
+/// What a replica reads from the store at `mark`: the changes, or all objects of another era.
+fn read(
+    replica: &Replica,
+    store: &BTreeMap<String, (u64, Bytes)>,
+    events: &[Item],
+    mark: Mark,
+) -> Delta {
+    let held = replica.mark();
+    if held.era == mark.era {
+        let items = events.iter().filter(|i| i.revision > held.revision).cloned().collect();
+        return Delta { full: false, mark, items };
+    }
+    let items = store.iter().map(|(name, (revision, body))| Item {
+        name: name.clone(),
+        revision: *revision,
+        body: Some(body.clone()),
+    });
+    Delta { full: true, mark, items: items.collect() }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 300, rng_seed: proptest::test_runner::RngSeed::Fixed(7),
         ..ProptestConfig::default() })]
 
     /// A chain of replicas, each updated from the one before it at random times, ends with the
-    /// state of the store.
+    /// state of the store, however often it is restored from a backup.
     #[test]
     fn replicas_of_replicas_match_the_store(
-        steps in prop::collection::vec((change(), 0..4u8), 1..60),
+        steps in prop::collection::vec((change(), 0..4u8, 0..12u8), 1..60),
     ) {
         let mut store: BTreeMap<String, (u64, Bytes)> = BTreeMap::new();
         let mut revision = 0;
+        let mut era = 1;
+        let mut backup = (store.clone(), revision);
         let (mut first, mut second) = (Replica::default(), Replica::default());
         let mut events: Vec<Item> = Vec::new();
-        for ((name, put), sync) in steps {
+        for (step, ((name, put), sync, backing_up)) in (1..).zip(steps) {
+            match backing_up {
+                0 => backup = (store.clone(), revision),
+                1 => {
+                    (store, revision) = backup.clone();
+                    events.retain(|event| event.revision <= revision);
+                    era += 1;
+                }
+                _ => {}
+            }
             revision += 1;
             let name = format!("n{name}");
             if put {
-                let body = Bytes::from(revision.to_string());
+                let body = Bytes::from(format!("{era}/{revision}"));
                 store.insert(name.clone(), (revision, body.clone()));
                 events.push(Item { name, revision, body: Some(body) });
             } else if store.remove(&name).is_some() {
                 events.push(Item { name, revision, body: None });
             }
             if sync & 1 > 0 {
-                let mark = first.mark();
-                let items = events.iter().filter(|i| i.revision > mark).cloned().collect();
-                first.apply(Delta { full: false, mark: revision, items }, ms(revision));
+                first.apply(read(&first, &store, &events, Mark { era, revision }), ms(step));
             }
             if sync & 2 > 0 {
                 let delta = first.delta(second.mark());
-                second.apply(delta, ms(revision));
+                second.apply(delta, ms(step));
             }
         }
-        let mark = first.mark();
-        let items = events.iter().filter(|i| i.revision > mark).cloned().collect();
-        first.apply(Delta { full: false, mark: revision, items }, ms(revision));
-        second.apply(first.delta(second.mark()), ms(revision));
+        let last = ms(1_000);
+        first.apply(read(&first, &store, &events, Mark { era, revision }), last);
+        second.apply(first.delta(second.mark()), last);
         let expected: BTreeMap<String, Bytes> =
             store.into_iter().map(|(name, (_, body))| (name, body)).collect();
         prop_assert_eq!(&contents(&first), &expected);
