A status that HTTP doesn't define reaches no caller

Cause: the head of a target's response was judged by its id, its seal and what it promises, not by the class of its status. Change: a status over 599 is a fault of the head in both daemons. The target has run the request, so it is retried only if it is idempotent, and ends as 502; the target's notices and load count.

--- a/src/front/response_head.rs
+++ b/src/front/response_head.rs
@@ -4,7 +4,7 @@
 use http::response::Parts;
 use http::{HeaderMap, HeaderName, StatusCode};
 
-use crate::net::{header_text, promises_not_run};
+use crate::net::{header_text, is_undefined, promises_not_run};
 
 use super::Headers;
 
@@ -62,6 +62,9 @@
     /// The request has run, so the status can't be passed on.
     #[error("its status promises that the request has not run, and the target doesn't say so")]
     FalsePromise,
+    /// The request has run, and callers know no such status.
+    #[error("HTTP defines no such status")]
+    UndefinedStatus,
 }
 
 impl HeadFault {
@@ -76,13 +79,14 @@
             Self::NoSeal => "no-seal",
             Self::Contradictory => "contradictory",
             Self::FalsePromise => "false-promise",
+            Self::UndefinedStatus => "undefined-status",
         }
     }
 
     /// True if the response is the request's own all the same: the target has run it, and its notices
     /// and load count.
     pub(crate) fn is_own(self) -> bool {
-        self == Self::FalsePromise
+        matches!(self, Self::FalsePromise | Self::UndefinedStatus)
     }
 }
 
@@ -139,7 +143,8 @@
     match (has_id, sealed) {
         (false, _) => Some(HeadFault::NoId),
         (true, false) => Some(HeadFault::NoSeal),
-        (true, true) => promises_not_run(head.status).then_some(HeadFault::FalsePromise),
+        (true, true) if promises_not_run(head.status) => Some(HeadFault::FalsePromise),
+        (true, true) => is_undefined(head.status).then_some(HeadFault::UndefinedStatus),
     }
 }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -33,8 +33,8 @@
     TrackerEvent,
 };
 pub use respond::{Arrival, Respond};
-pub(crate) use response::promises_not_run;
 pub use response::{bytes_response, full_body, json_response, text_response};
+pub(crate) use response::{is_undefined, promises_not_run};
 pub use response_budget::{OverBudget, ResponseBudget};
 pub use serve::Server;
 pub use tls::tls_acceptor;
--- a/src/net/response.rs
+++ b/src/net/response.rs
@@ -34,6 +34,11 @@
     bytes_response(status, "application/json", Bytes::from(body))
 }
 
+/// Returns true if HTTP defines no class for this status (RFC 9110, section 15). No caller may get it.
+pub(crate) fn is_undefined(status: StatusCode) -> bool {
+    status.as_u16() > 599
+}
+
 /// True if a response with this status promises that its request has not run.
 pub(crate) fn promises_not_run(status: StatusCode) -> bool {
     matches!(
--- a/src/node/response_head.rs
+++ b/src/node/response_head.rs
@@ -3,7 +3,7 @@
 
 use http::{HeaderMap, Response, StatusCode};
 
-use crate::net::{ConnectionUse, header_text, promises_not_run};
+use crate::net::{ConnectionUse, header_text, is_undefined, promises_not_run};
 
 /// Header with the id of the request that a response answers.
 const ID_HEADER: &str = "x-request-id";
@@ -56,6 +56,9 @@
     /// The request has run, so the status can't be passed on.
     #[error("its status promises that the request has not run, and the target doesn't say so")]
     FalsePromise,
+    /// The request has run, and callers know no such status.
+    #[error("HTTP defines no such status")]
+    UndefinedStatus,
 }
 
 impl HeadFault {
@@ -68,12 +71,13 @@
             Self::NoId => "no-id",
             Self::Contradictory => "contradictory",
             Self::FalsePromise => "false-promise",
+            Self::UndefinedStatus => "undefined-status",
         }
     }
 
     /// True if the response is the request's own all the same, so that the target's notices count.
     pub(super) fn is_own(self) -> bool {
-        self == Self::FalsePromise
+        matches!(self, Self::FalsePromise | Self::UndefinedStatus)
     }
 }
 
@@ -112,7 +116,8 @@
     let status = response.status();
     match response.headers().contains_key(SHED_HEADER) {
         true => (status != StatusCode::SERVICE_UNAVAILABLE).then_some(HeadFault::Contradictory),
-        false => promises_not_run(status).then_some(HeadFault::FalsePromise),
+        false if promises_not_run(status) => Some(HeadFault::FalsePromise),
+        false => is_undefined(status).then_some(HeadFault::UndefinedStatus),
     }
 }
 
--- a/tests/false_promises.rs
+++ b/tests/false_promises.rs
@@ -59,7 +59,11 @@
 ];
 
 /// Responses of targets that have run the request.
-const ODD_RESPONSES: [(&str, &str); 12] = [
+const ODD_RESPONSES: [(&str, &str); 16] = [
+    ("status 000", "HTTP/1.1 000 Odd\r\n{known}\r\ndone {call}"),
+    ("status 099", "HTTP/1.1 099 Odd\r\n{known}\r\ndone {call}"),
+    ("status 600", "HTTP/1.1 600 Odd\r\n{known}\r\ndone {call}"),
+    ("status 999", "HTTP/1.1 999 Odd\r\n{known}\r\ndone {call}"),
     ("its own 503", "HTTP/1.1 503 Service Unavailable\r\n{known}\r\ndone {call}"),
     ("its own 429", "HTTP/1.1 429 Too Many Requests\r\n{known}\r\ndone {call}"),
     ("its own 408", "HTTP/1.1 408 Request Timeout\r\n{known}\r\ndone {call}"),
@@ -293,6 +297,9 @@
             if name.starts_with("POST") && runs > 1 {
                 violate("ran twice");
             }
+            if !(100..600).contains(&answer.status) {
+                violate("got a status that HTTP does not define");
+            }
             let own = answer.status == 200 && answer.text == format!("done {call}");
             if !own && answer.reason().is_empty() && !(promised && runs == 0) {
                 violate("got another response");
