shallotstalld: a target gets no more requests than the limit that it names

A request whose turn would come after its deadline is rejected at once. Evidence: tests/dispatch_notices.rs: at 50 requests a second and a limit of 5, at most 35 in some 4 s and 32 or more in 8 s. Not covered: the daemon's own probes take no turns, and a new owner of a target learns the limit from its first response.

--- a/src/node/notices.rs
+++ b/src/node/notices.rs
@@ -6,9 +6,9 @@
 use bytes::Bytes;
 use http::{HeaderName, Response};
 
-use crate::model::ServiceId;
+use crate::model::{ServiceId, TargetId};
 use crate::net::header_text;
-use crate::steer::TargetNotice;
+use crate::steer::{LimitNotice, TargetNotice};
 use crate::targets::NoticeReport;
 
 use super::metrics::NoticeLabels;
@@ -17,6 +17,23 @@
 /// Header with which a target says that it leaves.
 pub(crate) const LEAVING_HEADER: &str = "x-shallot-leaving";
 
+/// Header with the requests per second that a target takes.
+const LIMIT_HEADER: &str = "x-shallot-limit";
+
+/// Records what a response, which is known to be the target's own, says of its limit.
+pub(super) fn record_limit(
+    node: &Node,
+    service: &ServiceId,
+    target: &TargetId,
+    response: &Response<Bytes>,
+) {
+    let name = HeaderName::from_static(LIMIT_HEADER);
+    let notice = LimitNotice::from_head(&[name], response.headers());
+    node.egress.with_dispatcher(service, |dispatcher, rng| {
+        dispatcher.record_limit(Instant::now(), target, notice, rng)
+    });
+}
+
 /// Reads the notice in the response to the request with this id. One that names another request came
 /// late or twice, and says nothing.
 pub(super) fn read_notice(response: &Response<Bytes>, request: &str) -> TargetNotice {
--- a/src/node/target_call.rs
+++ b/src/node/target_call.rs
@@ -83,6 +83,7 @@
         HeadVerdict::Ran => {
             record_notice(node, forward, held, &response);
             held.result = AttemptResult::Answered(took);
+            notices::record_limit(node, &held.service, &held.slot.target, &response);
             to_answer(response, &target)
         }
         HeadVerdict::Shed(proof) => {
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -84,6 +84,7 @@
     Access, Customer, KeyHash, RequestLimits, Route, Service, Table, TableIndex, WeightedService,
     key_hash,
 };
+pub(crate) use target_limit::TargetLimit;
 pub use target_limit::{LimitNotice, LimitShare};
 pub use token_queue::{Ticket, TokenQueue};
 pub use vm_record::{Liveness, VmRecord};
--- a/src/steer/target_limit.rs
+++ b/src/steer/target_limit.rs
@@ -67,6 +67,9 @@
 }
 
 impl LimitShare {
+    /// The part of a VM that alone sends to a target.
+    pub(crate) const WHOLE: Self = Self { fraction: 1.0, place: 0.0, epoch: Duration::ZERO };
+
     /// The first turn from `at` on, for turns at this `interval`.
     fn turn_from(&self, at: Duration, interval: Duration) -> Duration {
         let turns = (self.epoch + at).as_secs_f64() / interval.as_secs_f64() + self.place;
@@ -76,7 +79,7 @@
 
 /// The limit of one incarnation of a target.
 #[derive(Clone, Copy, Debug, Default)]
-pub(super) struct TargetLimit {
+pub(crate) struct TargetLimit {
     /// Requests per second from all entry VMs together, at least [`RATE_MIN`]; none without a limit.
     rate: Option<f64>,
     /// When a response last named it.
@@ -89,12 +92,12 @@
 
 impl TargetLimit {
     /// The limit, in requests per second.
-    pub(super) fn rate(&self) -> Option<f64> {
+    pub(crate) fn rate(&self) -> Option<f64> {
         self.rate
     }
 
     /// Takes what a response said at `at`, and returns true if the limit has changed.
-    pub(super) fn record(&mut self, at: Duration, notice: LimitNotice, share: &LimitShare) -> bool {
+    pub(crate) fn record(&mut self, at: Duration, notice: LimitNotice, share: &LimitShare) -> bool {
         let before = self.rate;
         match notice {
             LimitNotice::Named(rate) if at >= self.named_at => {
@@ -112,7 +115,7 @@
     }
 
     /// Plans the next turn anew, since the interval has changed.
-    pub(super) fn plan(&mut self, now: Duration, share: &LimitShare) {
+    pub(crate) fn plan(&mut self, now: Duration, share: &LimitShare) {
         let interval = self.interval(share);
         // Limits that change often must not bring turns closer together.
         let earliest = self.used_at.map_or(now, |at| now.max(at + interval / 2));
@@ -120,18 +123,18 @@
     }
 
     /// Time until this VM may send a request; none without a limit.
-    pub(super) fn wait(&self, now: Duration, share: &LimitShare) -> Option<Duration> {
+    pub(crate) fn wait(&self, now: Duration, share: &LimitShare) -> Option<Duration> {
         self.rate?;
         Some(self.next_turn(now, self.interval(share)).saturating_sub(now))
     }
 
     /// True if this VM may send a request now.
-    pub(super) fn admits(&self, now: Duration, share: &LimitShare) -> bool {
+    pub(crate) fn admits(&self, now: Duration, share: &LimitShare) -> bool {
         self.wait(now, share).is_none_or(|wait| wait.is_zero())
     }
 
     /// Uses a turn for a request that is sent now.
-    pub(super) fn record_sent(&mut self, now: Duration, share: &LimitShare) {
+    pub(crate) fn record_sent(&mut self, now: Duration, share: &LimitShare) {
         if self.rate.is_some() {
             self.used_at = Some(now);
             let interval = self.interval(share);
@@ -140,7 +143,7 @@
     }
 
     /// Time between two of this VM's turns.
-    pub(super) fn interval(&self, share: &LimitShare) -> Duration {
+    pub(crate) fn interval(&self, share: &LimitShare) -> Duration {
         let rate = self.rate.unwrap_or_default() * USED_RATIO * share.fraction;
         Duration::try_from_secs_f64(1.0 / rate).map_or(INTERVAL_MAX, |i| i.min(INTERVAL_MAX))
     }
--- a/src/targets/dispatcher.rs
+++ b/src/targets/dispatcher.rs
@@ -11,6 +11,7 @@
 use rand::Rng;
 
 use crate::model::TargetId;
+use crate::steer::LimitNotice;
 
 use super::notices::{NoticeInForce, NoticeReport, TargetNotices};
 use super::tracked::{AttemptResult, OwnedTarget, TrackedTarget};
@@ -226,6 +227,21 @@
         self.decide(now, rng)
     }
 
+    /// Records what a target's response says of the limit of requests per second that it takes.
+    pub fn record_limit(
+        &mut self,
+        now: Instant,
+        target: &TargetId,
+        notice: LimitNotice,
+        rng: &mut impl Rng,
+    ) -> Vec<SlotDecision> {
+        let changed = self.targets.get_mut(target).is_some_and(|t| t.record_limit(now, notice));
+        if changed {
+            log::info!("target: {target} says of its limit: {notice:?}.");
+        }
+        self.decide(now, rng)
+    }
+
     /// Records when a target's process started, as its probe says. The notices of an earlier process
     /// are dropped.
     pub fn record_start(&mut self, now: Instant, target: &TargetId, started_ms: u64) {
@@ -260,7 +276,8 @@
     fn decide(&mut self, now: Instant, rng: &mut impl Rng) -> Vec<SlotDecision> {
         // What must start before any target takes requests is refused at once.
         let outage = self.outage(now).map_or(Duration::ZERO, |o| o.time_left());
-        let expired = self.queue.expire(now + outage).into_iter();
+        let limited = self.usable().map(|t| t.limit_wait(now)).min().unwrap_or_default();
+        let expired = self.queue.expire(now + outage.max(limited)).into_iter();
         let mut decisions: Vec<SlotDecision> =
             expired.map(|Shed(ticket)| SlotDecision::Refuse(ticket)).collect();
         while let Some(slot) = self.start_next(now, rng) {
@@ -281,7 +298,7 @@
         let foreign = self.has_foreign_slot(now);
         let free: Vec<(TargetId, f64)> = self
             .usable()
-            .filter(|t| t.busy < t.usable_slots(now))
+            .filter(|t| t.busy < t.usable_slots(now) && t.limit_wait(now).is_zero())
             .map(|t| (t.target.id.clone(), t.cost(now)))
             .collect();
         let fits =
@@ -294,7 +311,7 @@
         let b = choices[rng.random_range(0..choices.len())];
         let target = if b.1 < a.1 { &b.0 } else { &a.0 };
         let tracked = self.targets.get_mut(target)?;
-        tracked.busy += 1;
+        tracked.start(now);
         Some(AssignedSlot {
             ticket: request.ticket,
             target: target.clone(),
--- a/src/targets/tracked.rs
+++ b/src/targets/tracked.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use crate::model::TargetId;
+use crate::steer::{LimitNotice, LimitShare, TargetLimit};
 
 use super::notices::TargetNotices;
 use super::{TargetEvent, TargetState, target_chart};
@@ -75,6 +76,10 @@
     cold: bool,
     /// When its process started, in milliseconds since the Unix epoch, if its probes say so.
     started_ms: Option<u64>,
+    /// The limit of requests per second that it names. This VM alone sends to it.
+    limit: TargetLimit,
+    /// Times in `limit` count from here.
+    tracked_since: Instant,
 }
 
 impl TrackedTarget {
@@ -89,10 +94,35 @@
             report: None,
             cold: false,
             started_ms: None,
+            limit: TargetLimit::default(),
+            tracked_since: now,
         }
     }
 
+    /// Takes what a response says of the target's limit. Returns true if the limit has changed.
+    pub(super) fn record_limit(&mut self, now: Instant, notice: LimitNotice) -> bool {
+        self.limit.record(self.elapsed(now), notice, &LimitShare::WHOLE)
+    }
+
+    /// Time until its limit lets a request through.
+    pub(super) fn limit_wait(&self, now: Instant) -> Duration {
+        self.limit.wait(self.elapsed(now), &LimitShare::WHOLE).unwrap_or_default()
+    }
+
+    /// Counts a request that starts there.
+    pub(super) fn start(&mut self, now: Instant) {
+        self.busy += 1;
+        self.limit.record_sent(self.elapsed(now), &LimitShare::WHOLE);
+    }
+
+    fn elapsed(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.tracked_since)
+    }
+
     pub(super) fn apply(&mut self, now: Instant, event: TargetEvent) {
+        if event == TargetEvent::Died {
+            self.limit = TargetLimit::default();
+        }
         self.cold |= matches!(event, TargetEvent::Died | TargetEvent::Pause);
         let next = target_chart().next(self.state, event);
         if next != self.state {
--- a/tests/dispatch_notices.rs
+++ b/tests/dispatch_notices.rs
@@ -6,7 +6,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use shallotstall::model::TargetId;
-use shallotstall::steer::TargetNotice;
+use shallotstall::steer::{LimitNotice, TargetNotice};
 use shallotstall::targets::{
     AttemptResult, ClosedTargets, DispatchLimits, Dispatcher, NoticeInForce, NoticeReport, Outage,
     OwnedTarget, QueuedRequest, SlotDecision,
@@ -305,3 +305,39 @@
         assert_eq!(closed.outage(count), expected, "{name}");
     }
 }
+
+/// Guards against an egress VM that sends a target more than the limit that it has named, and against
+/// requests that wait for a limit that won't let them through in time.
+#[test]
+fn a_target_gets_no_more_than_the_limit_that_it_names() {
+    const LIMIT: f64 = 5.0;
+    let mut fixture = Fixture::new(1);
+    let target = fixture.owned[0].id.clone();
+    let say = |fixture: &mut Fixture, notice| {
+        fixture.dispatcher.record_limit(fixture.now, &target, notice, &mut fixture.rng)
+    };
+    say(&mut fixture, LimitNotice::Named(LIMIT));
+    let mut started = Vec::new();
+    for _ in 0..400 {
+        fixture.now += ms(20);
+        let mut decisions = fixture.dispatcher.tick(fixture.now, &mut fixture.rng);
+        decisions.extend(fixture.admit());
+        while let Some(decision) = decisions.pop() {
+            let SlotDecision::Start(slot) = decision else { continue };
+            started.push(fixture.now);
+            let (answered, rng) = (AttemptResult::Answered(ms(10)), &mut fixture.rng);
+            decisions.extend(fixture.dispatcher.finish(fixture.now, &slot.target, answered, rng));
+        }
+    }
+    let in_window = |start: &Instant| {
+        started.iter().filter(|at| (*start..*start + ms(4_000)).contains(*at)).count()
+    };
+    let most = started.iter().map(in_window).max().unwrap_or(0);
+    assert!(most as f64 <= 1.5 * LIMIT * 4.0 + 5.0, "{most} in 4 s");
+    assert!(started.len() as f64 >= 0.8 * LIMIT * 8.0, "{} in 8 s", started.len());
+
+    say(&mut fixture, LimitNotice::Named(0.1));
+    fixture.advance(ms(3_000));
+    let refused = fixture.admit().iter().any(|d| matches!(d, SlotDecision::Refuse(_)));
+    assert!(refused, "its turn comes after the deadline");
+}
