Limits: where turns are frequent, few of them can be used at once

Cause: a turn could be used for 1.5 s, however frequent turns were: at a limit of 100 a second, 4 VMs could send 136 requests at once after a quiet time. Change: a turn can be used for as long as the interval to the next one, between 0.25 and 1.5 s.

--- a/src/steer/target_limit.rs
+++ b/src/steer/target_limit.rs
@@ -20,8 +20,10 @@
 const RATE_MIN: f64 = 0.1;
 /// Fraction of a limit that entry VMs use. The rest is for VMs that count the others differently.
 const USED_RATIO: f64 = 0.9;
-/// Time for which a turn can be used.
-const TURN_TTL: Duration = Duration::from_millis(1_500);
+/// Longest time for which a turn can be used.
+const TURN_TTL_MAX: Duration = Duration::from_millis(1_500);
+/// The same where turns are more frequent, so that few can be used at once.
+const TURN_TTL_MIN: Duration = Duration::from_millis(250);
 /// Longest interval between two turns.
 const INTERVAL_MAX: Duration = Duration::from_secs(3_600);
 
@@ -150,7 +152,8 @@
 
     /// When the first turn begins that can still be used.
     fn next_turn(&self, now: Duration, interval: Duration) -> Duration {
-        let overdue = now.saturating_sub(self.next_turn + TURN_TTL);
+        let ttl = interval.clamp(TURN_TTL_MIN, TURN_TTL_MAX);
+        let overdue = now.saturating_sub(self.next_turn + ttl);
         let lost = (overdue.as_secs_f64() / interval.as_secs_f64()).ceil();
         self.next_turn + interval.mul_f64(lost)
     }
