A request that is given up is reset, so that it can't reach its target later

Cause: the connection of such a request was closed: the network goes on delivering what it holds of a closed connection. Change: a connection to a target that is dropped while a request on it has no response head is reset, whatever the reason: timeout, caller gone, stop, a body that broke. It holds for both daemons' clients.

--- a/src/net/metered.rs
+++ b/src/net/metered.rs
@@ -45,6 +45,8 @@
     head: HeadScan,
     /// True once a request has been written after the head of another one's response.
     reused: bool,
+    /// True from the first byte of a request until the head of its response has been read.
+    unanswered: bool,
     /// True once a head has held the status line of another response. It stays, since a request may go on
     /// being written after its response has begun.
     spliced: bool,
@@ -61,8 +63,15 @@
     /// A meter that counts towards the budget of `held`.
     pub(crate) fn new(held: HeldBytes) -> Self {
         let head = HeadScan::default();
-        let state =
-            MeterState { unparsed: 0, largest: 0, held, head, reused: false, spliced: false };
+        let state = MeterState {
+            unparsed: 0,
+            largest: 0,
+            held,
+            head,
+            reused: false,
+            unanswered: false,
+            spliced: false,
+        };
         Self(Arc::new(Mutex::new(state)))
     }
 
@@ -122,6 +131,7 @@
             self.head = HeadScan::default();
             self.reused = true;
         }
+        self.unanswered = true;
     }
 
     /// How many bytes may be read while there is no room.
@@ -136,6 +146,7 @@
     fn add(&mut self, bytes: &[u8]) -> Result<()> {
         self.head.scan(bytes);
         self.spliced |= self.head.is_spliced();
+        self.unanswered &= !self.head.is_ended();
         self.unparsed += bytes.len();
         match self.unparsed <= UNPARSED_BYTES_MAX {
             true => Ok(()),
@@ -153,7 +164,8 @@
 }
 
 /// A connection whose reads are counted by a [`ReadMeter`]. While there is no room for what it reads, it
-/// reads little at a time, or waits.
+/// reads little at a time, or waits. It is reset when it is dropped with an unanswered request, so that
+/// what the peer has not received of it never arrives.
 #[derive(Debug)]
 pub(crate) struct MeteredStream {
     stream: TcpStream,
@@ -190,6 +202,16 @@
     }
 }
 
+impl Drop for MeteredStream {
+    fn drop(&mut self) {
+        if self.meter.lock().unanswered
+            && let Err(e) = self.stream.set_zero_linger()
+        {
+            log::debug!("net: a connection is closed and not reset: {e}.");
+        }
+    }
+}
+
 /// Passes the meter on to the responses of a pooled connection, as an extension.
 impl Connection for MeteredStream {
     fn connected(&self) -> Connected {
