A VM's own silence is not taken for an outage of the store

Cause: a routing table older than 2.6 s counted as the end of an outage of the store, after which removals aren't trusted, since the store may have lost records of running targets. Whether the store was away didn't matter. Change: it counts only if a read of the routing table has failed since it was last up to date. Failures of the seldom read feeds don't count, and a failure that comes from a standstill is told apart already.

--- a/src/front/news.rs
+++ b/src/front/news.rs
@@ -193,6 +193,7 @@
                     log::warn!("news: reading feed {feed:?} from the store failed: {e}.");
                 }
                 unreachable = true;
+                front.state.lock().reads_failed |= feed == Feed::Table;
                 front.store_unreachable.store(true, Ordering::Relaxed);
                 sleep(READ_RETRY_INTERVAL).await;
             }
--- a/src/front/state.rs
+++ b/src/front/state.rs
@@ -24,7 +24,8 @@
 use super::admission::TokenSender;
 use super::config::FrontConfig;
 
-/// Age of the routing table above which the next update counts as the end of a store outage.
+/// Age of the routing table above which the next update counts as the end of a store outage, if reads of
+/// the store have failed meanwhile.
 const STORE_OUTAGE_AGE: Duration = Duration::from_millis(2_600);
 /// Time after a store outage for which removals of targets are not trusted.
 const RECOVERY_PERIOD: Duration = Duration::from_millis(2_300);
@@ -64,6 +65,9 @@
     pub(crate) crashes: CrashTracker,
     /// Until then, removals of targets are not trusted: the records may come back.
     recovering_until: Duration,
+    /// True once a read of the routing table has failed since it was last up to date. Other feeds are read so
+    /// seldom that a failure may come from this VM's own standstill.
+    pub(crate) reads_failed: bool,
     /// Evacuated zones that a restored store has lost, and until when they count all the same.
     lost_evacuations: BTreeMap<ZoneId, Duration>,
     /// Whether an earlier incarnation of this VM had a record in the store; none until known.
@@ -110,6 +114,7 @@
             retries: RetryBudgets::new(config.retry_bounds()),
             crashes: CrashTracker::default(),
             recovering_until: Duration::ZERO,
+            reads_failed: false,
             lost_evacuations: BTreeMap::new(),
             rejoined: None,
         };
@@ -156,8 +161,9 @@
         as_of: Duration,
     ) -> AppliedDelta {
         let mut state = self.lock();
-        let outage =
-            state.feeds[Feed::Table as usize].age(now).is_some_and(|age| age > STORE_OUTAGE_AGE);
+        // A VM that has stood still, or whose upstream was cut off, has an old table, too.
+        let table_age = state.feeds[Feed::Table as usize].age(now);
+        let outage = state.reads_failed && table_age.is_some_and(|age| age > STORE_OUTAGE_AGE);
         let restored = delta.full && state.feeds[feed as usize].is_restored_by(&delta);
         if outage || restored {
             state.recovering_until = now + RECOVERY_PERIOD;
@@ -169,6 +175,10 @@
             state.keep_lost_evacuations(now, &delta);
         }
         let changed = state.feeds[feed as usize].apply(delta, as_of);
+        let table_age = state.feeds[Feed::Table as usize].age(now);
+        if table_age.is_some_and(|age| age <= STORE_OUTAGE_AGE) {
+            state.reads_failed = false;
+        }
         let replica = &state.feeds[feed as usize];
         let with_body = |name: String| {
             let body = replica.get(&name).cloned();
