Balancer, attempts, messages: parts that had grown large stand in files of their own; a limit's turns are permits

No change of behaviour. "Turn" already means something on connections with pipelined requests; a limit gives permits.

--- a/src/front/attempt.rs
+++ b/src/front/attempt.rs
@@ -16,6 +16,7 @@
 use crate::steer::{Pick, PickRequest, PickResult, caller_pause, rate_retry_after};
 
 use super::Front;
+use super::attempt_guard::AttemptGuard;
 use super::crash_check::check_for_crash;
 use super::exchange::{send, take_body};
 use super::in_flight::RequestStep;
@@ -335,49 +336,6 @@
     front.state.lock().balancer.pick(now, &choice)
 }
 
-/// Counts a request in flight at its target. Dropped early, it records that the caller has left.
-struct AttemptGuard<'a> {
-    front: &'a Front,
-    pick: &'a Pick,
-    start: Duration,
-    ended: bool,
-}
-
-impl<'a> AttemptGuard<'a> {
-    fn new(front: &'a Front, pick: &'a Pick) -> Self {
-        front.state.lock().balancer.record_sent(&pick.id);
-        Self { front, pick, start: clock::now(), ended: false }
-    }
-
-    /// Records the end of the attempt, and its latency if the target `responded`.
-    fn end(&mut self, responded: bool) {
-        self.ended = true;
-        if responded {
-            let now = clock::now();
-            let took = now.saturating_sub(self.start);
-            self.front.state.lock().balancer.record_latency(now, self.pick, took);
-        }
-    }
-
-    /// Records that the request was aborted: at its deadline if `timed_out`, else by its caller.
-    fn abort(&mut self, timed_out: bool) {
-        self.ended = true;
-        self.front.metrics.record_attempt(self.pick.zone.as_str(), "cut");
-        let now = clock::now();
-        let waited = now.saturating_sub(self.start);
-        self.front.state.lock().balancer.record_unanswered(now, self.pick, waited, timed_out);
-    }
-}
-
-impl Drop for AttemptGuard<'_> {
-    fn drop(&mut self) {
-        if !self.ended {
-            self.abort(false);
-        }
-        self.front.state.lock().balancer.record_end(&self.pick.id);
-    }
-}
-
 fn record_outcome(front: &Front, pick: &Pick, log: &mut RequestLog, outcome: &AttemptOutcome) {
     let label = match outcome {
         AttemptOutcome::Responded(_) => "answered",
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -9,6 +9,7 @@
 mod access;
 mod admission;
 mod attempt;
+mod attempt_guard;
 mod body_buffer;
 mod config;
 mod crash_check;
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -10,6 +10,7 @@
 mod error;
 mod handshake;
 mod message;
+mod observation;
 mod server;
 mod steering;
 
@@ -22,10 +23,11 @@
     HeaderField, Heartbeat, Objects, Outcome, PoolHome, ServiceLoad, VersionList, WireObject,
     WireVersion, ask, decode_outcome,
 };
+pub use observation::WireObservation;
 pub use server::{PeerHandler, PeerServer};
 pub use steering::{
     DrawRequest, DrawResponse, FeedUpdate, SyncRequest, SyncResponse, TargetCrash, WireItem,
-    WireLiveness, WireObservation, WireTokenGrant, WireTokenRequest,
+    WireLiveness, WireTokenGrant, WireTokenRequest,
 };
 
 /// Largest frame, in bytes. It must hold the body and headers of a request or response.
--- a/src/steer/balancer.rs
+++ b/src/steer/balancer.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
-use super::known::{COLD_MARGIN, DueProbe, KnownTarget, LeftTarget, TargetTrust};
+use super::known::{DueProbe, KnownTarget, LeftTarget, TargetTrust};
 use super::notice::{NoticeOrigin, NoticeState, TargetNotice};
 use super::observations::Observations;
 use super::pick::{Pick, PickRequest, PickResult};
@@ -14,17 +14,12 @@
 use super::reach::refusal;
 use super::record::{TargetReadiness, TargetRecord};
 use super::region_weights::RegionWeights;
-use super::rendezvous::{name_hash, rendezvous_score, weighted_score};
+use super::rendezvous::{rendezvous_score, weighted_score};
 use super::spill_noise::SpillNoise;
 use super::target_limit::LimitShare;
 use super::zone_failures::ZoneFailures;
 use crate::model::{RegionId, ServiceId, TargetId, ZoneId};
 
-/// Time for which a target is kept after its record has disappeared, if the store may have lost the
-/// record while the target still runs.
-const MISSING_RECORD_TTL: Duration = Duration::from_millis(2_300);
-/// Time for which a target without a record is remembered.
-const LEFT_TTL: Duration = Duration::from_secs(600);
 /// Factor by which a target in this VM's region weighs more than one in another region.
 const OWN_REGION_WEIGHT: f64 = 5.0;
 /// Fraction of a cold target's allowed rate that is used.
@@ -35,7 +30,7 @@
 pub struct Balancer {
     pub(super) targets: BTreeMap<TargetId, KnownTarget>,
     /// The region of each zone.
-    regions: HashMap<ZoneId, RegionId>,
+    pub(super) regions: HashMap<ZoneId, RegionId>,
     /// Zones whose targets get no requests.
     evacuated: BTreeSet<ZoneId>,
     region_weights: RegionWeights,
@@ -43,7 +38,7 @@
     paced_zones: BTreeSet<ZoneId>,
     zone_failures: HashMap<ZoneId, ZoneFailures>,
     /// Removed targets, by id: their records may come back.
-    left: HashMap<TargetId, LeftTarget>,
+    pub(super) left: HashMap<TargetId, LeftTarget>,
     /// Observations of the zone's entry VMs, to be passed on.
     pub(super) observations: Observations,
     /// This VM's part in the limits that targets name.
@@ -60,63 +55,6 @@
         Self { regions, ..Self::default() }
     }
 
-    /// Adds or updates a target from its record.
-    pub fn put(&mut self, now: Duration, id: TargetId, record: TargetRecord) {
-        let cold_until = match record.cold_ms {
-            0 => Duration::ZERO,
-            ms => now + Duration::from_millis(ms) + COLD_MARGIN,
-        };
-        // A zone that the settings do not list counts as a region of its own.
-        let region = self.regions.get(&record.zone).cloned();
-        let region = region.unwrap_or_else(|| RegionId::new(record.zone.as_str()));
-        match self.targets.get_mut(&id) {
-            Some(known) => known.update(record, cold_until),
-            None => {
-                let hash = name_hash(id.as_str().as_bytes());
-                let left = self.left.remove(&id).unwrap_or_default();
-                let left = left.for_incarnation(record.born_ms);
-                self.targets.insert(id, KnownTarget::new(record, hash, region, cold_until, left));
-            }
-        }
-    }
-
-    /// Adds or updates a target from its record in a restored store. One that was removed before is probed
-    /// before it gets requests: its record may be older than its end.
-    pub fn put_restored(&mut self, now: Duration, id: TargetId, record: TargetRecord) {
-        let is_removed = self.left.get(&id).is_some_and(|left| left.is_of(record.born_ms));
-        self.put(now, id.clone(), record);
-        if let Some(known) = self.targets.get_mut(&id).filter(|_| is_removed) {
-            known.trust = TargetTrust::Unproven { due: now, failures: 0 };
-        }
-    }
-
-    /// Removes a target whose record the store no longer has. If not `certain`, the store may have
-    /// lost records of running targets, and the target is kept for a while.
-    pub fn remove(&mut self, now: Duration, id: &TargetId, certain: bool) {
-        if certain {
-            self.forget(now, id);
-        } else if let Some(known) = self.targets.get_mut(id) {
-            log::info!("targets: The record of {id} is missing; the target is kept for a while.");
-            known.expires = Some(now + MISSING_RECORD_TTL);
-        }
-    }
-
-    /// Removes targets whose records went missing and have not come back in time.
-    pub fn expire(&mut self, now: Duration) {
-        let expired = |k: &KnownTarget| k.expires.is_some_and(|until| until <= now);
-        let ids = self.targets.iter().filter(|(_, k)| expired(k)).map(|(id, _)| id.clone());
-        for id in ids.collect::<Vec<_>>() {
-            self.forget(now, &id);
-        }
-        self.left.retain(|_, left| now < left.removed + LEFT_TTL);
-    }
-
-    fn forget(&mut self, now: Duration, id: &TargetId) {
-        self.observations.forget(id);
-        let Some(known) = self.targets.remove(id) else { return };
-        self.left.insert(id.clone(), LeftTarget::new(&known, now));
-    }
-
     /// Takes what a target says of itself in a response. `sample` is a random number from 0 to 1.
     pub fn record_notice(
         &mut self,
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -54,6 +54,7 @@
 mod stopping;
 mod table;
 mod target_limit;
+mod target_records;
 mod token_queue;
 mod tokens;
 mod vm_record;
--- a/src/steer/reach.rs
+++ b/src/steer/reach.rs
@@ -16,13 +16,13 @@
     allowed: impl Iterator<Item = &'a KnownTarget>,
 ) -> Option<PickResult> {
     let (mut pause, mut late): (Option<Duration>, Option<Duration>) = (None, None);
-    let mut turn: Option<Duration> = None;
+    let mut permit: Option<Duration> = None;
     let mut any_cold = false;
     for known in allowed {
         if let Some(left) = known.notices.pause_left(now) {
             pause = Some(pause.map_or(left, |p| p.min(left)));
         } else if known.trust == TargetTrust::Trusted && !known.limit.admits(now, share) {
-            turn = turn.into_iter().chain(known.limit.wait(now, share)).min();
+            permit = permit.into_iter().chain(known.limit.wait(now, share)).min();
         } else if known.trust == TargetTrust::Trusted && known.cold_until > now {
             any_cold = true;
         } else if known.trust == TargetTrust::Trusted {
@@ -37,7 +37,7 @@
     }
     match late.map(PickResult::Busy) {
         None if any_cold => None,
-        None if turn.is_some() => turn.map(PickResult::Limited),
+        None if permit.is_some() => permit.map(PickResult::Limited),
         None => Some(pause.map_or(PickResult::NoTarget, PickResult::Paused)),
         busy => busy,
     }
--- a/src/steer/target_limit.rs
+++ b/src/steer/target_limit.rs
@@ -2,10 +2,10 @@
 //! may send to it.
 //!
 //! Load pattern: targets in need name a few requests per second, much less than one for each VM. Each VM
-//! owns a share of the limit, and takes turns of its own: one request in each turn, at intervals that
-//! follow from the share. The turns of all VMs are spread evenly by the time of day; where clocks differ,
-//! they only come closer together. No message is needed, so the bound holds whatever VMs are cut off from
-//! each other. A turn that isn't used in time is lost: otherwise all VMs could send at once after a time
+//! owns a share of the limit, and gets permits for one request each, at an interval that follows from
+//! the share. The permits of all VMs are spread evenly by the time of day; where clocks differ, they
+//! only come closer together. No message is needed, so the bound holds whatever VMs are cut off from
+//! each other. A permit that isn't used expires: otherwise all VMs could send at once after a time
 //! without requests.
 
 use std::time::Duration;
@@ -20,11 +20,11 @@
 const RATE_MIN: f64 = 0.1;
 /// Fraction of a limit that entry VMs use. The rest is for VMs that count the others differently.
 const USED_RATIO: f64 = 0.9;
-/// Longest time for which a turn can be used.
-const TURN_TTL_MAX: Duration = Duration::from_millis(1_500);
-/// The same where turns are more frequent, so that few can be used at once.
-const TURN_TTL_MIN: Duration = Duration::from_millis(250);
-/// Longest interval between two turns.
+/// Longest time until a permit expires.
+const PERMIT_TTL_MAX: Duration = Duration::from_millis(1_500);
+/// Shortest time until a permit expires.
+const PERMIT_TTL_MIN: Duration = Duration::from_millis(250);
+/// Longest interval between two permits.
 const INTERVAL_MAX: Duration = Duration::from_secs(3_600);
 
 /// What a response says of its target's limit.
@@ -72,10 +72,10 @@
     /// The part of a VM that alone sends to a target.
     pub(crate) const WHOLE: Self = Self { fraction: 1.0, place: 0.0, epoch: Duration::ZERO };
 
-    /// The first turn from `at` on, for turns at this `interval`.
-    fn turn_from(&self, at: Duration, interval: Duration) -> Duration {
-        let turns = (self.epoch + at).as_secs_f64() / interval.as_secs_f64() + self.place;
-        at + interval.mul_f64(turns.ceil() - turns)
+    /// The first permit from `at` on, for permits at this `interval`.
+    fn permit_from(&self, at: Duration, interval: Duration) -> Duration {
+        let permits = (self.epoch + at).as_secs_f64() / interval.as_secs_f64() + self.place;
+        at + interval.mul_f64(permits.ceil() - permits)
     }
 }
 
@@ -86,9 +86,9 @@
     rate: Option<f64>,
     /// When a response last named it.
     named_at: Duration,
-    /// When this VM's next turn begins; meaningless without a limit.
-    next_turn: Duration,
-    /// When this VM last used a turn; none before the first.
+    /// When this VM gets its next permit; meaningless without a limit.
+    next_permit: Duration,
+    /// When this VM last used a permit; none before the first.
     used_at: Option<Duration>,
 }
 
@@ -116,18 +116,18 @@
         changed
     }
 
-    /// Plans the next turn anew, since the interval has changed.
+    /// Plans the next permit anew, since the interval has changed.
     pub(crate) fn plan(&mut self, now: Duration, share: &LimitShare) {
         let interval = self.interval(share);
-        // Limits that change often must not bring turns closer together.
+        // Limits that change often must not bring permits closer together.
         let earliest = self.used_at.map_or(now, |at| now.max(at + interval / 2));
-        self.next_turn = share.turn_from(earliest, interval);
+        self.next_permit = share.permit_from(earliest, interval);
     }
 
     /// Time until this VM may send a request; none without a limit.
     pub(crate) fn wait(&self, now: Duration, share: &LimitShare) -> Option<Duration> {
         self.rate?;
-        Some(self.next_turn(now, self.interval(share)).saturating_sub(now))
+        Some(self.next_permit(now, self.interval(share)).saturating_sub(now))
     }
 
     /// True if this VM may send a request now.
@@ -135,26 +135,26 @@
         self.wait(now, share).is_none_or(|wait| wait.is_zero())
     }
 
-    /// Uses a turn for a request that is sent now.
+    /// Uses a permit for a request that is sent now.
     pub(crate) fn record_sent(&mut self, now: Duration, share: &LimitShare) {
         if self.rate.is_some() {
             self.used_at = Some(now);
             let interval = self.interval(share);
-            self.next_turn = self.next_turn(now, interval) + interval;
+            self.next_permit = self.next_permit(now, interval) + interval;
         }
     }
 
-    /// Time between two of this VM's turns.
+    /// Time between two of this VM's permits.
     pub(crate) fn interval(&self, share: &LimitShare) -> Duration {
         let rate = self.rate.unwrap_or_default() * USED_RATIO * share.fraction;
         Duration::try_from_secs_f64(1.0 / rate).map_or(INTERVAL_MAX, |i| i.min(INTERVAL_MAX))
     }
 
-    /// When the first turn begins that can still be used.
-    fn next_turn(&self, now: Duration, interval: Duration) -> Duration {
-        let ttl = interval.clamp(TURN_TTL_MIN, TURN_TTL_MAX);
-        let overdue = now.saturating_sub(self.next_turn + ttl);
-        let lost = (overdue.as_secs_f64() / interval.as_secs_f64()).ceil();
-        self.next_turn + interval.mul_f64(lost)
+    /// When the first permit comes that can still be used.
+    fn next_permit(&self, now: Duration, interval: Duration) -> Duration {
+        let ttl = interval.clamp(PERMIT_TTL_MIN, PERMIT_TTL_MAX);
+        let overdue = now.saturating_sub(self.next_permit + ttl);
+        let expired = (overdue.as_secs_f64() / interval.as_secs_f64()).ceil();
+        self.next_permit + interval.mul_f64(expired)
     }
 }
--- a/tests/dispatch_notices.rs
+++ b/tests/dispatch_notices.rs
@@ -339,5 +339,5 @@
     say(&mut fixture, LimitNotice::Named(0.1));
     fixture.advance(ms(3_000));
     let refused = fixture.admit().iter().any(|d| matches!(d, SlotDecision::Refuse(_)));
-    assert!(refused, "its turn comes after the deadline");
+    assert!(refused, "its permit comes after the deadline");
 }
