Limits: a limit of any size is taken, and ends no process

What callers would have seen: a target that names a limit of 10 billion a second or more ended every VM that read it. Cause: the interval between two permits was rounded to 0, and a division by it gives no duration. Change: an interval is at least a microsecond. Evidence: tests/steer_limits.rs, limits_of_any_size_are_taken, failed before (a panic) and passes; found in the read-through.

--- a/src/steer/target_limit.rs
+++ b/src/steer/target_limit.rs
@@ -24,6 +24,8 @@
 const PERMIT_TTL_MAX: Duration = Duration::from_millis(1_500);
 /// Shortest time until a permit expires.
 const PERMIT_TTL_MIN: Duration = Duration::from_millis(250);
+/// Shortest interval between two permits; it must not be 0.
+const INTERVAL_MIN: Duration = Duration::from_micros(1);
 /// Longest interval between two permits.
 const INTERVAL_MAX: Duration = Duration::from_secs(3_600);
 
@@ -147,7 +149,8 @@
     /// Time between two of this VM's permits.
     pub(crate) fn interval(&self, share: &LimitShare) -> Duration {
         let rate = self.rate.unwrap_or_default() * USED_RATIO * share.fraction;
-        Duration::try_from_secs_f64(1.0 / rate).map_or(INTERVAL_MAX, |i| i.min(INTERVAL_MAX))
+        let interval = Duration::try_from_secs_f64(1.0 / rate).unwrap_or(INTERVAL_MAX);
+        interval.clamp(INTERVAL_MIN, INTERVAL_MAX)
     }
 
     /// When the first permit comes that can still be used.
--- a/tests/steer_limits.rs
+++ b/tests/steer_limits.rs
@@ -231,3 +231,15 @@
         assert_eq!(LimitNotice::from_head(&names, &headers), *expected, "{fields:?}");
     }
 }
+
+/// Guards against a target that ends a VM's process by the limit that it names.
+#[test]
+fn limits_of_any_size_are_taken() {
+    for rate in [0.0, f64::MIN_POSITIVE, 1e9, 1e12, f64::MAX] {
+        let mut balancer = balancer(4, 1, 1);
+        balancer.record_limit(ms(1_000), &id(0), BORN, LimitNotice::Named(rate));
+        for key in 0..500 {
+            pick(&mut balancer, ms(1_000 + u64::from(key) * 7), key);
+        }
+    }
+}
